--- /dev/null
+++ b/examples/minimal.cpp
@@ -0,0 +1,56 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The smallest use of the library: one class, two servers, one request and its answer.
+#include <cstdio>
+#include <variant>
+#include <vector>
+
+#include "fordlb/balancer.h"
+
+int main() {
+  using namespace fordlb;
+  using std::chrono::milliseconds;
+
+  Settings settings;
+  ClassSettings reads;
+  reads.effect = Effect::kSafe;
+  reads.aim = milliseconds(100);
+  reads.deadline = milliseconds(400);
+  settings.classes = {reads};
+  settings.max_attempts = 3;
+  Balancer balancer(settings, /*seed=*/42);
+
+  // The caller owns the clock and the network: events in, actions out.
+  TimePoint now{milliseconds(1000)};
+  std::vector<Action> actions;
+  ListUpdate list{ListKind::kFull, {}};
+  for (ServerId id : {7u, 9u}) {
+    ServerEntry entry;
+    entry.server = id;
+    list.entries.push_back(entry);
+  }
+  balancer.Handle(now, list, &actions);
+
+  actions.clear();
+  Submit submit;
+  submit.request = 1;
+  submit.due = now + milliseconds(400);
+  balancer.Handle(now, submit, &actions);
+
+  for (const Action& action : actions) {
+    if (const auto* dispatch = std::get_if<Dispatch>(&action)) {
+      std::printf("request %llu goes to server %u\n", static_cast<unsigned long long>(dispatch->request),
+                  dispatch->server);
+      AttemptEnded end;
+      end.request = dispatch->request;
+      end.server = dispatch->server;
+      end.outcome = Outcome::kOk;
+      end.settled = true;
+      end.took = milliseconds(12);
+      std::vector<Action> none;
+      balancer.Handle(now + end.took, end, &none);
+      return 0;
+    }
+  }
+  return 1;
+}
--- /dev/null
+++ b/include/fordlb/balancer.h
@@ -0,0 +1,164 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The whole interface of fordlb: settings, events, actions and the Balancer that maps one to the other.
+//
+// A Balancer is pure and deterministic. It has no clock, I/O, threads or globals: time comes in with each
+// event and randomness derives from the seed alone. Classes, tenants, zones and kinds are indices into the
+// lists of the settings, so names cannot decide anything.
+#ifndef FORDLB_BALANCER_H_
+#define FORDLB_BALANCER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace fordlb {
+
+// The clock is the caller's; its origin is arbitrary and it only advances.
+struct Clock {
+  using duration = std::chrono::duration<double, std::milli>;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<Clock>;
+  static constexpr bool is_steady = true;
+};
+using Duration = Clock::duration;
+using TimePoint = Clock::time_point;
+
+using RequestId = std::uint64_t;
+using ServerId = std::uint32_t;
+
+enum class Effect { kSafe, kKeyed, kUnsafe };
+enum class Group { kAll, kZone, kCell };
+
+struct ClassSettings {
+  Effect effect = Effect::kUnsafe;
+  Group group = Group::kAll;  // keyed classes: the servers that drop each other's repeats
+  Duration window{0};         // keyed classes: how long they remember
+  Duration aim{0};
+  Duration deadline{0};
+  double worth = 1;
+  double late_worth = 0;  // share of the worth that an answer after the aim still earns
+};
+
+struct TenantSettings {
+  double quota_per_s = 0;  // requests a second within its share, over all proxies
+};
+
+// Defaults are the documented meaning of an absent optional setting; none of them steers a decision.
+struct Settings {
+  int balancers = 1;
+  int me = 0;  // the number of this proxy among them
+  int zone = 0;
+  std::vector<ClassSettings> classes;
+  std::vector<TenantSettings> tenants;
+  double over_share_worth = 1;
+  double price_cross_zone = 0;
+  bool warm_keys = false;  // a server that served a key lately serves it again with less work
+  bool must_ask_for_list = false;
+  int max_attempts = 1;
+  Duration max_retry_after{0};  // the longest that refused clients stay away when told; 0: they are not told
+  Duration tick{1};
+  Duration must_ask_within{0};  // where the list must be asked for
+  double cold_from = 1;         // a starting server has at least this share of its capacity
+  Duration warm_up{0};          // and all of it no later than this
+  double fall_multiple = 1;     // it falls over when sent more than this multiple of its capacity
+  Duration overload_for{0};     // for this long
+};
+
+enum class ServerState { kGone, kReady, kDraining };
+enum class ListKind { kDelta, kFull, kCached, kFailed };
+
+struct ServerEntry {
+  ServerId server = 0;
+  int zone = 0;
+  int kind = 0;
+  int cell = 0;
+  ServerState state = ServerState::kReady;
+  double weight = 1;
+  TimePoint up_since{};  // zero: long ago
+};
+
+// How an attempt ended. Full, connect failed and moot prove that it never ran.
+enum class Outcome { kOk, kError, kFull, kTimeout, kConnectFailed, kReset, kCancelled, kMoot, kUnknown };
+
+// ---- events -------------------------------------------------------------------------------------------
+struct ListUpdate {
+  ListKind kind = ListKind::kDelta;
+  std::vector<ServerEntry> entries;
+};
+struct Submit {
+  RequestId request = 0;
+  TimePoint due{};  // the client gives this try up then
+  int request_class = 0;
+  int tenant = 0;
+  std::uint64_t key = 0;  // 0: none
+  bool has_hint = false;
+  bool client_retry = false;
+  double work_ms = 0;  // hinted work on a standard core
+};
+struct StreamStarted {
+  RequestId request = 0;
+  int attempt = 0;
+};
+struct AttemptEnded {
+  RequestId request = 0;
+  int attempt = 0;
+  ServerId server = 0;
+  bool settled = false;  // the request has its final answer
+  Outcome outcome = Outcome::kUnknown;
+  Duration took{0};
+};
+struct ClientGone {
+  RequestId request = 0;
+};
+struct TimerFired {
+  std::uint64_t token = 0;  // of its SetTimer
+};
+using Event = std::variant<ListUpdate, Submit, StreamStarted, AttemptEnded, ClientGone, TimerFired>;
+
+// ---- actions ------------------------------------------------------------------------------------------
+struct Dispatch {
+  RequestId request = 0;
+  ServerId server = 0;
+  Duration timeout{0};  // 0: until the client gives up
+};
+struct Refuse {  // final; tells the client that another try is harmless
+  RequestId request = 0;
+  Duration retry_after{0};  // 0: no advice
+};
+struct Fail {  // final; promises nothing
+  RequestId request = 0;
+};
+struct SetTimer {
+  TimePoint at{};
+  std::uint64_t token = 0;
+};
+struct Subscribe {};  // ask discovery for the changes from here on
+struct Log {
+  std::string text;
+};
+using Action = std::variant<Dispatch, Refuse, Fail, SetTimer, Subscribe, Log>;
+
+class Balancer {
+ public:
+  Balancer(Settings settings, std::uint64_t seed);
+  ~Balancer();
+  Balancer(Balancer&&) noexcept;
+  Balancer& operator=(Balancer&&) noexcept;
+
+  // Appends what is to be done at `now` because of `event`. Ignores what it does not know; never throws on
+  // the content of an event.
+  void Handle(TimePoint now, const Event& event, std::vector<Action>* actions);
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace fordlb
+
+#endif  // FORDLB_BALANCER_H_
--- /dev/null
+++ b/src/drill/settings.h
@@ -0,0 +1,25 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Reads the path=value settings of the simulator's wire.
+#ifndef FORDLB_DRILL_SETTINGS_H_
+#define FORDLB_DRILL_SETTINGS_H_
+
+#include <stdexcept>
+#include <string_view>
+
+#include "fordlb/balancer.h"
+
+namespace fordlb::drill {
+
+// A needed key is absent, or a key holds what it must not; what() names the key.
+class BadSettings : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+// Unknown keys are ignored; an absent optional key has its documented meaning.
+Settings ParseSettings(std::string_view text);
+
+}  // namespace fordlb::drill
+
+#endif  // FORDLB_DRILL_SETTINGS_H_
--- /dev/null
+++ b/src/logic.cpp
@@ -0,0 +1,924 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Every decision of fordlb. The types, events and actions are in include/fordlb/balancer.h.
+//
+// The ordinary path is gRFC A50 outlier detection (failure percentage) and, among the servers in service, a
+// pick of the one with the least hinted work of this proxy's own in flight. Whatever departs from that is
+// marked "Exception" with the condition under which it acts; docs/design.md lists them all.
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <map>
+#include <random>
+#include <set>
+#include <utility>
+
+#include "fordlb/balancer.h"
+
+namespace fordlb {
+namespace {
+
+// ---- 1. Constants -------------------------------------------------------------------------------------
+// Outlier detection, in A50's terms.
+constexpr Duration kInterval{2000};          // counts reset: long enough for the volume floor at 2 requests/s
+constexpr Duration kBaseEjectionTime{2000};  // first ejection: as long as one interval
+constexpr Duration kMaxEjectionTime{16000};  // a recovered server is tried again within this
+constexpr int kRequestVolume = 3;           // a proxy sees few requests a server; 3 of 3 failing is no chance
+constexpr int kMinimumHosts = 2;            // servers to compare with each other
+constexpr double kThreshold = 0.4;          // failure share; well over what noise and overlap produce
+constexpr double kMaxEjectionPercent = 50;  // the rest must be able to carry the load
+constexpr double kEnforcingPercent = 100;   // every finding is enforced
+
+// The aperture: over how many servers a proxy spreads what it has.
+constexpr double kLeastAperture = 6;    // warm servers: two may fail and the rest still carry their share
+constexpr double kCrossingWeight = 10;  // mean requests of work that the whole crossing price is worth
+constexpr double kColdCaution = 0.55;   // of the fall multiple: the rest is for chance and for late news
+constexpr double kColdLeast = 0.25;     // standard cores that a warm server has at the very least
+constexpr double kWindowSlack = 1.1;    // rolling window of the cold budget over the rule's, for delays
+constexpr Duration kRateMemory{8000};   // averaging of work served by warm servers
+constexpr double kRetryRatio = 0.1;     // repeats a first send earns: bounds a storm to a tenth
+constexpr double kRetryBurst = 20;      // repeats in store
+constexpr int kFewSamples = 10;         // below, nothing is known of how long a class takes
+constexpr double kDeviations = 4;       // time-out: mean + 4 deviations, as RFC 6298
+constexpr double kWindowMargin = 0.9;   // of the window in which a keyed repeat is dropped
+constexpr double kQueueShare = 0.33;    // of the aim that an attempt may take, in the mean
+constexpr double kChance = 1;           // deviations of the number in flight that are no overload
+constexpr double kSpare = 2;            // requests more: two that meet by chance are no crowd at any proxy
+constexpr double kFewLate = 0.1;       // of the answers, late by themselves: from here on servers are crowded
+constexpr double kLateGain = 0.03;     // of one answer: some tens of answers, a few seconds of a small proxy
+constexpr double kCrowding = 3;        // and of what a mean request takes at servers that are not crowded
+constexpr Duration kGoodMemory{1500};  // averaging of the work answered, for the limit of the whole proxy
+constexpr double kLeastPerServer = 1.5;    // in flight at a server, of all proxies, that are always in order
+constexpr double kStretchGain = 0.01;      // of a slower answer; a faster one counts ten times as much
+constexpr double kSlownessGain = 0.08;     // of one answer
+constexpr double kMostSlownessGain = 0.3;  // of one answer that comes alone: three outweigh what was known
+constexpr double kMostSlowness = 8;        // one answer counts as no slower than this
+constexpr Duration kSlownessMemory{4000};  // what is not confirmed is forgotten
+constexpr double kSlownessWeight = 1;      // of the time lost at a slow server, against work in flight
+constexpr double kSameTime = 0.04;         // part by which times of tries may differ and still be the same
+constexpr int kFirmVotes = 10;             // below, nothing is made of it: clients may differ widely
+constexpr int kMostVotes = 50;             // for the usual time of a try
+constexpr double kWarmWeight = 2;          // of a request's work, at a server that met its key lately
+constexpr Duration kKeyMemory{4000};       // how long a key sent to a server is taken to be warm there
+constexpr int kMostMisses = 8;             // held requests tried in a row without room for any
+constexpr double kMostWork = 1e6;          // ms; a larger hint is taken as this
+constexpr Duration kHousekeeping{100};     // rates are sampled this often
+constexpr Duration kLogGap{1000};          // log lines of ejections and returns no closer than this
+constexpr Duration kLongLogGap{10000};     // others
+constexpr Duration kForgetAfter{600000};   // a server gone for this long loses its state
+
+constexpr TimePoint kNever{Duration(1e300)};
+
+// Deterministic from its seed alone; the standard distributions differ between libraries.
+class Random {
+ public:
+  explicit Random(std::uint64_t seed) : engine_(seed) {}
+  double Unit() { return static_cast<double>(engine_() >> 11) * 0x1.0p-53; }
+  std::uint64_t Below(std::uint64_t n) { return engine_() % n; }
+
+ private:
+  std::mt19937_64 engine_;
+};
+
+// Scatters ids: the finalizer of SplitMix64.
+std::uint64_t Mix(std::uint64_t x) {
+  x += 0x9e3779b97f4a7c15;
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9;
+  x = (x ^ (x >> 27)) * 0x94d049bb133111eb;
+  return x ^ (x >> 31);
+}
+
+// Mean and mean deviation, exponentially weighted.
+struct Spread {
+  double mean = 0, deviation = 0;
+  int samples = 0;
+
+  void Add(double x) {
+    const double gain = std::max(0.02, 1.0 / ++samples);
+    if (samples == 1) mean = x, deviation = x / 2;
+    deviation += gain * (std::abs(x - mean) - deviation);
+    mean += gain * (x - mean);
+  }
+};
+
+// ---- 2. Outlier detection -----------------------------------------------------------------------------
+// gRFC A50, failure percentage, evaluated at each answer as DESIGN states it.
+class OutlierDetector {
+ public:
+  struct Host {
+    int successes = 0, failures = 0, multiplier = 0;
+    bool ejected = false;
+    TimePoint return_at{};
+    int attempts() const { return successes + failures; }
+  };
+
+  struct Fleet {
+    std::vector<const Host*> heard;  // those with answers of this proxy's own
+    std::size_t size = 0;            // all
+  };
+
+  static bool Qualifies(const Host& host) { return host.attempts() >= kRequestVolume; }
+
+  // Tests a host in service that has just had an answer counted; true if it is ejected by it.
+  static bool Eject(Host& host, TimePoint now, const Fleet& fleet, Random& random) {
+    int qualifying = 0, ejected = 0, others_failed = 0, others = 0;
+    for (const Host* other : fleet.heard) {
+      qualifying += Qualifies(*other);
+      ejected += other->ejected;
+      if (other == &host || other->ejected) continue;
+      others_failed += other->failures;
+      others += other->attempts();
+    }
+    if (!Qualifies(host) || qualifying < kMinimumHosts) return false;
+    // The threshold rises with the share failing elsewhere, to twice that while it is small and to 1 with it:
+    // an overloaded fleet must not eject itself, but a server failing always goes, however bad the rest.
+    const double elsewhere = others > 0 ? static_cast<double>(others_failed) / others : 0;
+    const double threshold = std::max(kThreshold, elsewhere * (2 - elsewhere));
+    if (!(host.failures > threshold * host.attempts())) return false;
+    if (!(100.0 * ejected < kMaxEjectionPercent * static_cast<double>(fleet.size))) return false;
+    if (!(100.0 * random.Unit() < kEnforcingPercent)) return false;
+    ++host.multiplier;
+    host.ejected = true;
+    host.return_at =
+        now + std::min(kBaseEjectionTime * host.multiplier, std::max(kBaseEjectionTime, kMaxEjectionTime));
+    return true;
+  }
+  static bool ReturnIfDue(Host& host, TimePoint now) {
+    if (!host.ejected || now < host.return_at) return false;
+    host.ejected = false;
+    host.multiplier = std::max(0, host.multiplier - 1);
+    return true;
+  }
+  static void EndInterval(Host& host) {
+    host.successes = host.failures = 0;
+    if (!host.ejected) host.multiplier = std::max(0, host.multiplier - 1);
+  }
+};
+
+// ---- 4. Cold-start budget (its state; the pick below asks it) -----------------------------------------
+// Work this proxy sent to one server within the rule's window. Everything sent counts.
+class SentWindow {
+ public:
+  void Add(TimePoint now, double work) {
+    sent_.emplace_back(now, work);
+    sum_ += work;
+  }
+  double Within(TimePoint now, Duration window) {
+    while (!sent_.empty() && now - sent_.front().first > window) {
+      sum_ -= sent_.front().second;
+      sent_.pop_front();
+    }
+    return sent_.empty() ? sum_ = 0 : sum_;
+  }
+
+ private:
+  std::deque<std::pair<TimePoint, double>> sent_;
+  double sum_ = 0;
+};
+
+struct Server {
+  ServerEntry entry;
+  TimePoint gone_since{};
+  double own_work = 0;  // hinted, of this proxy, in flight
+  int own_count = 0;
+  OutlierDetector::Host health;
+  SentWindow sent;
+  double served_since_sample = 0, served_rate = 0;  // work; work a ms
+  double slowness = 1;                     // time of its answers over what the fleet takes for the like
+  std::map<std::uint64_t, TimePoint> met;  // keys sent to it lately
+  TimePoint last_sent{}, quiet_since{}, answered_at{};
+  TimePoint paced_start{};  // the start for which the moment of its first request was drawn
+  bool active = false;      // it is in active_
+  std::uint64_t place = 0;  // on the ring
+
+  bool Idle() const {  // nothing is known of it that the passing of time would change
+    return own_count == 0 && served_since_sample == 0 && served_rate < 1e-9 &&
+           std::abs(slowness - 1) < 1e-3 && met.empty() && health.attempts() == 0 && !health.ejected &&
+           health.multiplier == 0;
+  }
+};
+
+struct Attempt {
+  ServerId server = 0;
+  TimePoint sent_at{};
+  bool outstanding = true;
+  bool may_have_run = true;
+  bool overdue = false;  // no longer counted in flight
+};
+
+struct Request {
+  RequestId id = 0;
+  int cls = 0;
+  double work = 1;
+  double value = 0;
+  std::uint64_t key = 0;
+  TimePoint arrived{}, due{}, refuse_at{};
+  std::vector<Attempt> attempts;
+  bool finished = false, streaming = false, held = false;
+  int outstanding() const {
+    return static_cast<int>(
+        std::count_if(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.outstanding; }));
+  }
+};
+
+// How long clients usually give a try.
+struct UsualTime {
+  Duration time{0};
+  int votes = 0;
+};
+
+// What this proxy has seen of a class.
+struct ClassState {
+  Spread latency, work;  // time over WorkScale; hinted work
+  UsualTime usual_time;
+};
+
+// What may be done with a request now.
+struct Permission {
+  bool dispatch = false;
+  bool refuse = false;
+  const Server* group_of = nullptr;  // if set: only to servers that drop this one's repeats
+};
+
+}  // namespace
+
+class Balancer::Impl {
+ public:
+  Impl(Settings settings, std::uint64_t seed) : settings_(std::move(settings)), random_(seed) {
+    classes_.resize(settings_.classes.size());
+    tenant_tokens_.resize(settings_.tenants.size(), 1);
+  }
+
+  void Handle(TimePoint now, const Event& event, std::vector<Action>* actions) {
+    const double passed = std::max(0.0, (now - now_).count());
+    mean_in_flight_ += std::min(1.0, passed / kGoodMemory.count()) * (in_flight_ - mean_in_flight_);
+    now_ = now;
+    out_ = actions;
+    std::visit([this](const auto& e) { On(e); }, event);  // first: a list may forbid what is due
+    Advance();
+    PlaceHeld();
+    Arm();
+    out_ = nullptr;
+  }
+
+ private:
+  // ---- 3. Pick ----------------------------------------------------------------------------------------
+  // Exception, where a proxy has too few requests for the fleet: it ranks no more servers than it can give
+  // the volume floor within an interval. Spread over hundreds, it learns nothing of any, and pays for a
+  // connection to each: at full size nine attempts in ten found a server's connections taken. Proxies take
+  // places evenly spaced on a ring of servers, a ring for each group of them, so that every server is in as
+  // many apertures, and those who share one server share no other. Servers that are ejected or cold are made
+  // up for by the next.
+  void OrderFleet() {
+    ring_.clear();
+    const std::uint64_t group_size =
+        static_cast<std::uint64_t>(std::ceil(std::sqrt(static_cast<double>(settings_.balancers))));
+    const std::uint64_t me = static_cast<std::uint64_t>(settings_.me);
+    for (auto& [id, s] : servers_) {
+      if (!Usable(s)) continue;
+      s.place = Mix(id ^ Mix(me / group_size + 1));
+      ring_.push_back(&s);
+    }
+    std::sort(ring_.begin(), ring_.end(), [](const Server* a, const Server* b) {
+      return std::pair(a->place, a->entry.server) < std::pair(b->place, b->entry.server);
+    });
+    const std::size_t start = (me % group_size) * ring_.size() / group_size;
+    std::rotate(ring_.begin(), ring_.begin() + static_cast<std::ptrdiff_t>(start), ring_.end());
+  }
+
+  double Aperture() const {
+    return std::min(static_cast<double>(usable_),
+                    std::max(kLeastAperture, send_rate_ * kInterval.count() / kRequestVolume));
+  }
+
+  Duration Interval() const {  // long enough for twice the volume floor at each server of the aperture
+    const double needed = send_rate_ > 0 ? 2 * kRequestVolume * Aperture() / send_rate_ : 0;
+    return std::clamp(Duration(needed), kInterval, kMaxEjectionTime / 2);
+  }
+
+  bool Usable(const Server& s) const { return s.entry.state == ServerState::kReady; }
+
+  static bool Tried(const Request& r, const Server& s) {
+    return std::any_of(r.attempts.begin(), r.attempts.end(),
+                       [&](const Attempt& a) { return a.server == s.entry.server; });
+  }
+
+  bool InGroup(const Request& r, const Server& anchor, const Server& s) const {
+    switch (settings_.classes[r.cls].group) {
+      case Group::kAll:
+        return true;
+      case Group::kZone:
+        return s.entry.zone == anchor.entry.zone;
+      case Group::kCell:
+        return s.entry.cell == anchor.entry.cell && s.entry.zone == anchor.entry.zone;
+    }
+    return false;
+  }
+
+  bool Warm(const Server& s, std::uint64_t key) const {
+    const auto met = s.met.find(key);
+    return met != s.met.end() && now_ - met->second < kKeyMemory;
+  }
+
+  // Least own hinted work in flight, ties at random. Exceptions: a crossing of zones counts as the work that
+  // its price is worth; where keys are warm, a server that met this one lately serves it with less work, and
+  // what it saves serves others; those over their cold budget are passed over; those it has
+  // tried come last; if no server of the group is in service, an ejected one is used: never a lost request.
+  Server* Pick(const Request& r, const Permission& permission) {
+    Choice choice;
+    double warm = 0;
+    for (Server* s : ring_) {
+      if (permission.group_of && !InGroup(r, *permission.group_of, *s)) continue;
+      if (FitsColdBudget(*s, r.work)) {
+        Consider(r, *s, &choice);
+      } else if (MayLog(kCold)) {
+        LogLine("server " + std::to_string(s->entry.server) + " held back: cold, at " +
+                std::to_string(static_cast<int>(100 * WarmShare(*s))) + "% or more of its capacity");
+      }
+      choice.in_service |= !s->health.ejected;
+      if (!s->health.ejected && !Tried(r, *s)) warm += WarmShare(*s);
+      if (warm >= Aperture()) break;
+    }
+    // Some server is in service, though without room now: the ejected ones need not serve.
+    return choice.rank >= 2 && choice.in_service ? nullptr : choice.best;
+  }
+
+  struct Choice {
+    Server* best = nullptr;
+    int rank = 0, ties = 0;
+    double score = 0;
+    bool in_service = false;
+  };
+
+  void Consider(const Request& r, Server& s, Choice* choice) {
+    const int rank = 2 * s.health.ejected + Tried(r, s);
+    const bool crosses = s.entry.zone != settings_.zone;
+    const double score = s.own_work + kSlownessWeight * r.work * (s.slowness - 1) -
+                         (Warm(s, r.key) ? kWarmWeight * r.work : 0) +
+                         (crosses ? kCrossingWeight * settings_.price_cross_zone * request_work_.mean : 0);
+    if (choice->best && (rank > choice->rank || (rank == choice->rank && score > choice->score))) return;
+    const bool tie = choice->best && rank == choice->rank && score == choice->score;
+    choice->ties = tie ? choice->ties + 1 : 1;
+    if (tie && random_.Below(choice->ties) != 0) return;
+    choice->best = &s;
+    choice->rank = rank;
+    choice->score = score;
+  }
+
+  // ---- 4. Cold-start budget ---------------------------------------------------------------------------
+  // The share of its capacity that a server has at least.
+  double WarmShare(const Server& s) const {
+    if (s.entry.up_since.time_since_epoch().count() <= 0) return 1;
+    const double age = (now_ - s.entry.up_since).count();
+    const double warm_up = settings_.warm_up.count();
+    if (warm_up <= 0 || age >= warm_up) return 1;
+    return settings_.cold_from + (1 - settings_.cold_from) * std::max(0.0, age) / warm_up;
+  }
+
+  // A cold server gets, over the rule's window, its share of what a warm one serves for this proxy. All
+  // proxies doing so, their sum is that share of what a warm server can do, whatever part of the traffic each
+  // has. What was sent is no measure: an overloaded fleet is sent far more than it can do. One request in a
+  // while is always allowed, or a fleet that is cold throughout would never come back.
+  bool FitsColdBudget(Server& s, double work) {
+    const double share = WarmShare(s);
+    const double sent = s.sent.Within(now_, settings_.overload_for * kWindowSlack);
+    if (share >= 1) return true;
+    const double budget =
+        kColdCaution * settings_.fall_multiple * share * WarmRate(s) * settings_.overload_for.count();
+    if (sent + work <= budget) return true;
+    if (now_ - s.last_sent < settings_.overload_for * kWindowSlack) return false;
+    // A budget of less than one request is one in so many windows, from a moment drawn at random: proxies
+    // that heard of a start together would each send their one request at once.
+    const double all_at_least = kColdLeast * settings_.fall_multiple * settings_.cold_from;
+    const double pace = std::max(budget / settings_.overload_for.count(), all_at_least / settings_.balancers);
+    if (pace <= 0) return true;
+    const Duration gap(std::max(work, request_work_.mean) / pace);
+    if (budget > 0 && s.paced_start != s.entry.up_since) {
+      s.paced_start = s.entry.up_since;
+      s.last_sent = now_ - gap * random_.Unit();
+    }
+    return now_ - s.last_sent >= gap;
+  }
+
+  // Work a ms that a warm server of the same kind serves for this proxy; of any kind if there is none.
+  double WarmRate(const Server& like) const {
+    double same = 0, all = 0;
+    int same_count = 0, count = 0;
+    for (const Server* s : active_) {
+      if (!Usable(*s) || s->health.ejected || WarmShare(*s) < 1) continue;
+      all += s->served_rate;
+      ++count;
+      if (s->entry.kind != like.entry.kind) continue;
+      same += s->served_rate;
+      ++same_count;
+    }
+    return same_count > 0 ? same / same_count : count > 0 ? all / count : 0;
+  }
+
+  // ---- 5. Attempts ------------------------------------------------------------------------------------
+  // The one place that decides whether a request may be dispatched (again) or refused.
+  Permission Permitted(const Request& r) const {
+    Permission may;
+    if (r.finished || r.streaming) return may;
+    const ClassSettings& c = settings_.classes[r.cls];
+    const Attempt* first_run = nullptr;
+    for (const Attempt& a : r.attempts) {
+      if (a.may_have_run && !first_run) first_run = &a;
+    }
+    const int outstanding = r.outstanding();
+    may.dispatch =
+        now_ < r.due && static_cast<int>(r.attempts.size()) < settings_.max_attempts && outstanding == 0;
+    may.refuse = true;
+    if (!first_run || c.effect == Effect::kSafe) return may;
+    may.refuse = c.effect == Effect::kKeyed && c.group == Group::kAll;
+    if (c.effect == Effect::kUnsafe || now_ - first_run->sent_at > c.window * kWindowMargin)
+      may.dispatch = false;
+    const auto anchor = servers_.find(first_run->server);
+    if (anchor == servers_.end()) may.dispatch = false;
+    if (may.dispatch) may.group_of = &anchor->second;
+    return may;
+  }
+
+  void Finish(Request& r, Duration retry_after = Duration(0)) {
+    const Permission may = Permitted(r);
+    if (MayLog(kEnding))
+      LogLine((may.refuse ? "refusing: " : "failing: ") +
+              (r.attempts.empty() ? "not in time"
+                                  : "last at server " + std::to_string(r.attempts.back().server)) +
+              "; " + std::to_string(in_flight_) + " in flight, " + std::to_string(held_.size()) + " held");
+    if (may.refuse) {
+      out_->push_back(Refuse{r.id, retry_after});
+    } else {
+      out_->push_back(Fail{r.id});
+    }
+    r.finished = true;
+  }
+
+  // Only a server that has gone silent gets a time-out short of the client's own: it owes answers, and has
+  // owed them for longer than this class takes by mean + kDeviations deviations. Timing out what was merely
+  // late doubled its work on every site. Zero also where no repeat is permitted or would come in time.
+  Duration TimeoutFor(const Request& r, const Server& s) const {
+    const ClassSettings& c = settings_.classes[r.cls];
+    const Spread& seen = classes_[r.cls].latency;
+    if (c.effect == Effect::kUnsafe || seen.samples < kFewSamples || s.own_count == 0 || retry_tokens_ < 1)
+      return Duration(0);
+    if (static_cast<int>(r.attempts.size()) + 1 >= settings_.max_attempts) return Duration(0);
+    const double scale = WorkScale(r);
+    const Duration repeat((seen.mean + seen.deviation) * scale);
+    const Duration unlikely = Unlikely(r);
+    if (now_ - s.quiet_since < unlikely || now_ + unlikely + repeat > r.due) return Duration(0);
+    return unlikely;
+  }
+
+  Duration Unlikely(const Request& r) const {
+    const Spread& seen = classes_[r.cls].latency;
+    return Duration((seen.mean + kDeviations * seen.deviation) * WorkScale(r));
+  }
+
+  double WorkScale(const Request& r) const {
+    const double mean = classes_[r.cls].work.mean;
+    const double ratio = mean > 0 ? r.work / mean : 1;
+    return ratio > 1 ? ratio : 0.5 + 0.5 * ratio;
+  }
+
+  void Send(Request& r, Server& s) {
+    const bool first = r.attempts.empty();
+    if (first) {
+      retry_tokens_ = std::min(kRetryBurst, retry_tokens_ + kRetryRatio);
+    } else {
+      retry_tokens_ = std::max(0.0, retry_tokens_ - 1);
+    }
+    const Duration timeout = TimeoutFor(r, s);
+    if (s.own_count == 0) s.quiet_since = now_;
+    if (!s.active) active_.push_back(&s);
+    s.active = true;
+    ++in_flight_;
+    last_place_ = random_.Unit();
+    s.own_work += r.work;
+    ++s.own_count;
+    s.sent.Add(now_, r.work);
+    s.last_sent = now_;
+    if (settings_.warm_keys && r.key != 0) s.met[r.key] = now_;
+    if (classes_[r.cls].latency.samples >= kFewSamples) wakeups_.emplace(now_ + CountedFor(r), r.id);
+    Attempt attempt;
+    attempt.server = s.entry.server;
+    attempt.sent_at = now_;
+    r.attempts.push_back(attempt);
+    out_->push_back(Dispatch{r.id, s.entry.server, timeout});
+  }
+
+  void On(const AttemptEnded& e) {
+    const auto found = requests_.find(e.request);
+    if (found == requests_.end()) return;
+    Request& r = found->second;
+    if (e.attempt < 0 || e.attempt >= static_cast<int>(r.attempts.size())) return;
+    Attempt& a = r.attempts[e.attempt];
+    if (!a.outstanding) return;
+    a.outstanding = false;
+    a.may_have_run =
+        !(e.outcome == Outcome::kFull || e.outcome == Outcome::kConnectFailed || e.outcome == Outcome::kMoot);
+    const auto at = servers_.find(a.server);
+    if (at != servers_.end()) Learn(r, e, at->second);
+    room_ = true;
+    if (e.settled) r.finished = true;
+    if (!r.finished && r.outstanding() == 0 && !r.held)
+      Again(r, a.may_have_run || e.outcome == Outcome::kFull);
+    Forget(found);
+  }
+
+  // After a failed attempt: another one where permitted, within the budget of repeats if it adds load.
+  void Again(Request& r, bool adds_load) {
+    if (!Permitted(r).dispatch || (adds_load && retry_tokens_ < 1)) return Finish(r);
+    r.refuse_at = std::max(r.refuse_at, std::min(r.due - settings_.tick * 2, now_ + settings_.tick * 4));
+    Place(r);
+  }
+
+  void Learn(const Request& r, const AttemptEnded& e, Server& s) {
+    if (!r.attempts[e.attempt].overdue) --in_flight_;
+    s.own_work -= r.work;
+    if (e.outcome != Outcome::kTimeout) s.quiet_since = now_;
+    if (--s.own_count == 0) s.own_work = 0;
+    const bool ok = e.outcome == Outcome::kOk;
+    if (e.outcome == Outcome::kCancelled || e.outcome == Outcome::kMoot || e.outcome == Outcome::kUnknown)
+      return;
+    if (ok) s.served_since_sample += r.work, ++answered_;
+    const double took = e.took.count();
+    const bool timed = ok || e.outcome == Outcome::kTimeout;
+    if (timed && std::isfinite(took) && took >= 0) {
+      Spread& seen = classes_[r.cls].latency;
+      seen.Add(took / WorkScale(r));
+      // A heavy tail is late whatever is done, and does not count.
+      const Duration aim = settings_.classes[r.cls].aim;
+      if (r.work * stretch_ < 0.5 * aim.count()) late_share_ += kLateGain * ((e.took > aim) - late_share_);
+      const double relative = std::min(kMostSlowness, took / WorkScale(r) / std::max(seen.mean, 1e-9));
+      // The rarer its answers, the more each tells.
+      const double gain =
+          std::clamp((now_ - s.answered_at) / kSlownessMemory, kSlownessGain, kMostSlownessGain);
+      s.slowness += gain * (relative - s.slowness);
+      s.answered_at = now_;
+    }
+    if (ok && r.work >= request_work_.mean && took > 0) {
+      const double x = took / r.work;
+      stretch_ += (stretch_ == 0 ? 1 : x < stretch_ ? 10 * kStretchGain : kStretchGain) * (x - stretch_);
+    }
+    ++(ok ? s.health.successes : s.health.failures);
+    if (s.health.ejected || !OutlierDetector::Qualifies(s.health)) return;
+    OutlierDetector::Fleet fleet{{}, usable_};
+    for (const Server* other : active_) {
+      if (Usable(*other)) fleet.heard.push_back(&other->health);
+    }
+    if (!OutlierDetector::Eject(s.health, now_, fleet, random_)) return;
+    next_return_ = std::min(next_return_, s.health.return_at);
+    if (MayLog(kHealth)) {
+      LogLine("server " + std::to_string(s.entry.server) + " ejected: " + std::to_string(s.health.failures) +
+              " of " + std::to_string(s.health.attempts()) + " attempts failed");
+    }
+  }
+
+  // One huge request, out for seconds, must not keep a small proxy from sending either.
+  Duration CountedFor(const Request& r) const { return std::min(Unlikely(r), settings_.classes[r.cls].aim); }
+
+  // What is out for longer than its like is stuck at one server, and no sign of what the fleet holds: two at
+  // a silent server kept a small proxy from sending anything for seconds.
+  void NoteOverdue(Request& r) {
+    for (Attempt& a : r.attempts) {
+      if (!a.outstanding || a.overdue || now_ < a.sent_at + CountedFor(r)) continue;
+      a.overdue = room_ = true;
+      --in_flight_;
+    }
+  }
+
+  void Forget(std::map<RequestId, Request>::iterator it) {
+    if (it->second.finished) Unhold(it->second);
+    if (it->second.finished && it->second.outstanding() == 0) requests_.erase(it);
+  }
+
+  // ---- 6. Admission -----------------------------------------------------------------------------------
+  // Exception, when the whole fleet is slow: by Little's law requests in flight are those answered a ms times
+  // their time; more than kQueueShare of the aim at the rate of late could only queue, and more than
+  // kCrowding times what they take uncrowded lets servers choke (i42a2e5). The rest is held, the most worth
+  // first, and refused while a try later can still be of use. Counted, not weighed, for huge requests' sake.
+  // Chance in flight evens out over all proxies: one may have a deviation and kSpare more, until answers come
+  // late; then its mean may exceed the limit only by its part of the whole fleet's chance: hundreds at their
+  // deviation choked the servers (i32c1ee). The last place is drawn at each send: the limit may be a
+  // fraction.
+  bool FitsProxy() const {
+    const double uncrowded = stretch_ > 0 ? stretch_ * request_work_.mean : mean_aim_.mean;
+    const double in_time = std::max(0.0, 1 - late_share_ / kFewLate);
+    const double useful = std::min(kQueueShare * mean_aim_.mean, kCrowding * uncrowded);
+    const double served = served_rate_ * useful;
+    const double mean = std::max(kLeastPerServer * warm_servers_ / settings_.balancers,
+                                 served + kChance * std::sqrt(served / settings_.balancers));
+    const double room = std::clamp(4 * (1 - mean_in_flight_ / mean), in_time, 1.0);
+    return in_flight_ + last_place_ < mean + (kChance * std::sqrt(mean) + kSpare) * room;
+  }
+
+  bool WithinShare(int tenant) {
+    if (tenant < 0 || tenant >= static_cast<int>(tenant_tokens_.size())) return true;
+    double& tokens = tenant_tokens_[tenant];
+    if (tokens < 1) return false;
+    tokens -= 1;
+    return true;
+  }
+
+  // Exception: what has passed of a client's deadline has passed of its aim. A client's last try has what is
+  // left of its deadline, all others of a class have the same time: the usual one, found by vote.
+  Duration Elapsed(const Submit& e) {
+    const ClassSettings& c = settings_.classes[e.request_class];
+    UsualTime& usual = classes_[e.request_class].usual_time;
+    const Duration left = e.due - now_;
+    const bool as_usual = std::abs((left - usual.time).count()) <= kSameTime * usual.time.count();
+    if (as_usual) {
+      usual.votes = std::min(kMostVotes, usual.votes + 1);
+    } else if (!e.client_retry && --usual.votes < 0) {
+      usual.time = left;
+      usual.votes = 0;
+    }
+    if (usual.votes < kFirmVotes) return Duration(0);
+    const Duration at_most = std::max(Duration(0), c.deadline - left);
+    return !as_usual ? at_most : e.client_retry ? at_most * 0.5 : Duration(0);
+  }
+
+  void On(const Submit& e) {
+    if (requests_.count(e.request)) return;
+    Request r;
+    r.id = e.request;
+    r.due = e.due;
+    r.arrived = now_;
+    r.key = e.key;
+    if (e.request_class < 0 || e.request_class >= static_cast<int>(settings_.classes.size())) {
+      // Nothing is known of what it may do twice, and it never ran: the client may try again.
+      out_->push_back(Refuse{r.id, Duration(0)});
+      return;
+    }
+    r.cls = e.request_class;
+    const ClassSettings& c = settings_.classes[r.cls];
+    const Duration aim = c.aim - Elapsed(e);
+    const bool hinted = e.has_hint && std::isfinite(e.work_ms) && e.work_ms > 0;
+    r.work = hinted ? std::min(e.work_ms, kMostWork) : request_work_.samples > 0 ? request_work_.mean : 1;
+    if (hinted || request_work_.samples == 0) {
+      request_work_.Add(r.work);
+      classes_[r.cls].work.Add(r.work);
+    }
+    mean_aim_.Add(c.aim.count());
+    ++arrived_;
+    r.value = c.worth * (WithinShare(e.tenant) ? 1 : settings_.over_share_worth);
+    // What is too large to be in time is worth little, or nothing: it must not take the place of others. Each
+    // such finding weakens the next: a slow spell must not shut a class out for good.
+    const Duration alone(r.work * stretch_);
+    if (alone > aim) r.value *= now_ + alone > r.due ? 0 : c.late_worth;
+    if (alone > c.aim) stretch_ *= 1 - 5 * kStretchGain;
+    if (r.value <= 0) return Finish(r, StayAway(r));
+    const Duration useful = aim - Duration(classes_[r.cls].latency.mean + classes_[r.cls].latency.deviation);
+    r.refuse_at = std::min(r.due - settings_.tick * 2, now_ + std::max(useful, c.aim / 4));
+    Request& kept = requests_.emplace(r.id, std::move(r)).first->second;
+    Place(kept);
+    Forget(requests_.find(e.request));
+  }
+
+  // Exception, where clients listen: one whose aim could not be met would come back only to be late, and take
+  // the place of one in time. It is told to stay away for as long as it would have come back.
+  Duration StayAway(const Request& r) const {
+    return std::min(settings_.max_retry_after, settings_.classes[r.cls].deadline);
+  }
+
+  // Sends the request or holds it; true if sent.
+  bool Place(Request& r) {
+    const Permission may = Permitted(r);
+    Server* s = may.dispatch && FitsProxy() ? Pick(r, may) : nullptr;
+    if (s) {
+      Unhold(r);
+      Send(r, *s);
+      return true;
+    }
+    if (!may.dispatch || now_ >= r.refuse_at) {
+      Finish(r, StayAway(r));
+    } else if (!r.held) {
+      r.held = true;
+      held_.emplace(-r.value, -r.arrived.time_since_epoch(), r.id);
+      wakeups_.emplace(r.refuse_at, r.id);
+    }
+    return false;
+  }
+
+  void Unhold(Request& r) {
+    if (r.held) held_.erase({-r.value, -r.arrived.time_since_epoch(), r.id});
+    r.held = false;
+  }
+
+  void PlaceHeld() {
+    if (!room_) return;
+    room_ = false;
+    int misses = 0;
+    for (auto it = held_.begin(); it != held_.end() && misses < kMostMisses;) {
+      const RequestId id = std::get<2>(*it++);
+      const auto found = requests_.find(id);
+      misses += !Place(found->second);
+      Forget(found);
+    }
+  }
+
+  void On(const ClientGone& e) {
+    const auto found = requests_.find(e.request);
+    if (found == requests_.end()) return;
+    found->second.finished = true;
+    Forget(found);
+  }
+
+  void On(const StreamStarted& e) {
+    const auto found = requests_.find(e.request);
+    if (found != requests_.end()) found->second.streaming = true;
+  }
+
+  // The caller may round times: a timer that fires a little early must be set again, or nothing wakes a quiet
+  // proxy and what it holds is lost.
+  void On(const TimerFired& e) {
+    if (e.token == timer_) armed_ = kNever;
+  }
+
+  // ---- 7. Discovery -----------------------------------------------------------------------------------
+  void On(const ListUpdate& e) {
+    if (settings_.must_ask_for_list) FollowUp(e.kind);
+    if (e.kind == ListKind::kFailed) return;
+    if (e.kind != ListKind::kDelta) {
+      std::set<ServerId> listed;
+      for (const ServerEntry& entry : e.entries) listed.insert(entry.server);
+      for (auto& [id, s] : servers_) {
+        if (!listed.count(id)) SetState(s, ServerState::kGone);
+      }
+    }
+    for (const ServerEntry& entry : e.entries) {
+      const auto [it, added] = servers_.try_emplace(entry.server);
+      const ServerState before = it->second.entry.state;
+      it->second.entry = entry;
+      it->second.entry.state = before;
+      SetState(it->second, entry.state);
+    }
+    std::erase_if(servers_, [this](const auto& entry) {
+      const Server& s = entry.second;
+      return s.entry.state == ServerState::kGone && !s.active && now_ - s.gone_since > kForgetAfter;
+    });
+    CountFleet();
+    room_ = true;
+  }
+
+  void SetState(Server& s, ServerState state) {
+    if (state == ServerState::kGone && s.entry.state != state) s.gone_since = now_;
+    s.entry.state = state;
+  }
+
+  void FollowUp(ListKind kind) {
+    if (kind == ListKind::kCached) {
+      ask_at_ = now_;  // a new life: nothing is subscribed yet
+    } else if (kind == ListKind::kFailed) {
+      // Jittered backoff, from a twentieth to a quarter of the time within which the rules want a call.
+      ask_backoff_ =
+          std::min(settings_.must_ask_within / 4, std::max(settings_.must_ask_within / 20, ask_backoff_ * 2));
+      ask_at_ = now_ + ask_backoff_ * (0.5 + 0.5 * random_.Unit());
+    } else {
+      ask_backoff_ = Duration(0);
+      ask_at_ = kNever;
+    }
+  }
+
+  // ---- Time -------------------------------------------------------------------------------------------
+  void Advance() {
+    if (now_ >= armed_) armed_ = kNever;
+    if (now_ >= next_return_) ReturnDue();
+    if (now_ >= interval_end_) {
+      interval_end_ = now_ + Interval();
+      for (Server* s : active_) OutlierDetector::EndInterval(s->health);
+    }
+    if (now_ >= sample_at_) Sample();
+    if (now_ >= ask_at_) {
+      out_->push_back(Subscribe{});
+      ask_at_ = now_ + settings_.must_ask_within / 2;  // an answer may never come
+    }
+    while (!wakeups_.empty() && wakeups_.begin()->first <= now_) {
+      const auto found = requests_.find(wakeups_.begin()->second);
+      wakeups_.erase(wakeups_.begin());
+      if (found == requests_.end()) continue;
+      Request& r = found->second;
+      if (r.held && now_ >= r.refuse_at) Finish(r, StayAway(r));
+      NoteOverdue(r);
+      Forget(found);
+    }
+  }
+
+  void ReturnDue() {
+    next_return_ = kNever;
+    for (Server* s : active_) {
+      if (OutlierDetector::ReturnIfDue(s->health, now_)) {
+        room_ = true;
+        if (MayLog(kHealth)) LogLine("server " + std::to_string(s->entry.server) + " returns to service");
+      } else if (s->health.ejected) {
+        next_return_ = std::min(next_return_, s->health.return_at);
+      }
+    }
+  }
+
+  void CountFleet() {
+    OrderFleet();
+    usable_ = 0;
+    warm_servers_ = 0;
+    warming_ = false;
+    for (const auto& [id, s] : servers_) {
+      if (!Usable(s)) continue;
+      const double share = WarmShare(s);
+      ++usable_;
+      warm_servers_ += share;
+      warming_ |= share < 1;
+    }
+  }
+
+  void Sample() {
+    const double elapsed = (now_ - sampled_at_).count();
+    const double gain = std::min(1.0, elapsed / kRateMemory.count());
+    for (Server* s : active_) {
+      if (elapsed > 0 && sampled_at_ != TimePoint{})
+        s->served_rate += gain * (s->served_since_sample / elapsed - s->served_rate);
+      s->served_since_sample = 0;
+      std::erase_if(s->met, [this](const auto& met) { return now_ - met.second >= kKeyMemory; });
+      s->slowness += std::min(1.0, elapsed / kSlownessMemory.count()) * (1 - s->slowness);
+      s->active = !s->Idle();
+    }
+    std::erase_if(active_, [](const Server* s) { return !s->active; });
+    if (warming_) CountFleet();
+    if (sampled_at_ != TimePoint{} && elapsed > 0) {
+      // A new proxy starts from little and trusts its first samples: one that floods the fleet at its start
+      // leaves queues that take far longer to drain than the start took.
+      const double gain = std::min(1.0, std::max(elapsed / kGoodMemory.count(), 1.0 / ++samples_));
+      served_rate_ += gain * (answered_ / elapsed - served_rate_);
+      send_rate_ += gain * (arrived_ / elapsed - send_rate_);
+      answered_ = arrived_ = 0;
+    }
+    for (std::size_t t = 0; t < tenant_tokens_.size(); ++t) {
+      const double rate = settings_.tenants[t].quota_per_s / settings_.balancers / 1000;
+      tenant_tokens_[t] = std::min(std::max(1.0, rate * 2000), tenant_tokens_[t] + rate * elapsed);
+    }
+    sampled_at_ = now_;
+    sample_at_ = now_ + kHousekeeping;
+    room_ = true;  // cold budgets have moved on
+  }
+
+  void Arm() {
+    TimePoint at = std::min({sample_at_, ask_at_, next_return_});
+    if (!wakeups_.empty()) at = std::min(at, wakeups_.begin()->first);
+    if (at >= armed_) return;
+    armed_ = at;
+    out_->push_back(SetTimer{at, ++timer_});
+  }
+
+  // Few lines: each kind no closer than its gap.
+  enum LogKind { kHealth, kEnding, kCold, kLogKinds };
+  bool MayLog(LogKind kind) {
+    if (now_ < log_at_[kind]) return false;
+    log_at_[kind] = now_ + (kind == kHealth ? kLogGap : kLongLogGap);
+    return true;
+  }
+  void LogLine(std::string text) { out_->push_back(Log{std::move(text)}); }
+
+  Settings settings_;
+  Random random_;
+  TimePoint now_{};
+  std::vector<Action>* out_ = nullptr;
+  std::map<ServerId, Server> servers_;
+  std::vector<Server*> ring_;           // those that take work, from this proxy's place on the ring onwards
+  double arrived_ = 0, send_rate_ = 0;  // requests since the last sample; a ms
+  std::vector<Server*> active_;  // those this proxy has dealt with lately; work per event is theirs alone
+  std::size_t usable_ = 0;       // servers on the list that take work
+  double warm_servers_ = 0;      // their shares of a warm server's capacity, summed
+  bool warming_ = false;         // one of them is still cold
+  std::map<RequestId, Request> requests_;
+  std::set<std::tuple<double, Duration, RequestId>> held_;
+  std::set<std::pair<TimePoint, RequestId>> wakeups_;
+  std::vector<ClassState> classes_;
+  Spread request_work_, mean_aim_;
+  double stretch_ = 0;  // time over work that large requests take at the least
+  int samples_ = 0;
+  double mean_in_flight_ = 0;
+  double last_place_ = 0;  // the part of one that the limit must leave for the next, drawn at each send
+  double late_share_ = 0;  // of the answers lately
+  int in_flight_ = 0;      // attempts
+  double answered_ = 0, served_rate_ = 0;  // answers since the last sample; answers a ms
+  std::vector<double> tenant_tokens_;
+  double retry_tokens_ = kRetryBurst;
+  bool room_ = false;  // something changed that may let a held request go
+  Duration ask_backoff_{0};
+  std::uint64_t timer_ = 0;  // token of the timer that is set
+  TimePoint armed_ = kNever, ask_at_ = kNever, next_return_ = kNever;
+  TimePoint interval_end_{}, sample_at_{}, sampled_at_{};
+  TimePoint log_at_[kLogKinds] = {};
+};
+
+Balancer::Balancer(Settings settings, std::uint64_t seed)
+    : impl_(std::make_unique<Impl>(std::move(settings), seed)) {}
+Balancer::~Balancer() = default;
+Balancer::Balancer(Balancer&&) noexcept = default;
+Balancer& Balancer::operator=(Balancer&&) noexcept = default;
+
+void Balancer::Handle(TimePoint now, const Event& event, std::vector<Action>* actions) {
+  impl_->Handle(now, event, actions);
+}
+
+}  // namespace fordlb
