--- /dev/null
+++ b/src/node/backend.h
@@ -0,0 +1,85 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Connections to backends: a pool for each, and one attempt at a time on a connection.
+#ifndef FORDLB_NODE_BACKEND_H_
+#define FORDLB_NODE_BACKEND_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/verb.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "clock.h"
+#include "discovery.h"
+#include "fordlb/balancer.h"
+
+namespace fordlb::node {
+
+// What goes on to a backend unchanged.
+struct Forwarded {
+  boost::beast::http::verb method = boost::beast::http::verb::get;
+  std::string target, body, correlation_id, idempotency_key, service_class, account;
+};
+
+struct AttemptResult {
+  Outcome outcome = Outcome::kUnknown;
+  std::string body;  // of a 200
+  std::string content_type;
+};
+
+class Backends {
+ public:
+  struct Limits {
+    std::size_t connections = 480;      // in all
+    std::size_t idle_per_backend = 16;  // spares; what a burst left over costs both sides
+    Duration connect_timeout{250};
+    Duration idle_limit{15000};
+    Duration drain_grace{0};
+  };
+  using Done = std::function<void(AttemptResult)>;
+
+  Backends(boost::asio::io_context& io, const NodeClock& clock, Limits limits);
+  ~Backends();
+  Backends(const Backends&) = delete;
+  Backends& operator=(const Backends&) = delete;
+
+  void Update(const EndpointList& list);
+  bool AnyReady() const;
+
+  // Makes one attempt; `done` is called exactly once, never from within this call.
+  void Send(ServerId server, std::shared_ptr<const Forwarded> request, Duration timeout, Done done);
+
+  std::size_t open() const { return open_; }
+
+ private:
+  class Connection;
+  struct Backend {
+    boost::asio::ip::tcp::endpoint address;
+    ServerState state = ServerState::kGone;
+    TimePoint told_at{};                            // when it was first said to take no more
+    std::vector<std::shared_ptr<Connection>> idle;  // the newest last
+  };
+
+  void SetState(Backend& backend, ServerState state);
+  void CloseIdle(Backend& backend);
+  std::shared_ptr<Connection> TakeIdle(Backend& backend);
+  bool MakeRoom();
+  // For a connection: whether a request may begin on it now; and its changes of state.
+  bool MaySend(ServerId server, const boost::asio::ip::tcp::endpoint& address) const;
+  void Park(std::shared_ptr<Connection> connection);
+  void Unpark(const Connection* connection);
+
+  boost::asio::io_context& io_;
+  const NodeClock& clock_;
+  Limits limits_;
+  std::unordered_map<ServerId, Backend> backends_;
+  std::size_t open_ = 0;
+};
+
+}  // namespace fordlb::node
+
+#endif  // FORDLB_NODE_BACKEND_H_
--- /dev/null
+++ b/src/node/client.h
@@ -0,0 +1,60 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The side of the clients: the listener, and a session for each connection.
+#ifndef FORDLB_NODE_CLIENT_H_
+#define FORDLB_NODE_CLIENT_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "config.h"
+#include "proxy.h"
+
+namespace fordlb::node {
+
+class Listener {
+ public:
+  // Binds and listens; throws boost::system::system_error if it can't.
+  Listener(boost::asio::io_context& io, const NodeClock& clock, Proxy& proxy, const Config& config);
+  ~Listener();
+  Listener(const Listener&) = delete;
+  Listener& operator=(const Listener&) = delete;
+
+  boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+
+  // Goes on accepting for a while, answers all that was taken, then calls `stopped`.
+  void Stop(std::function<void()> stopped);
+
+ private:
+  class Session;
+  using Sessions = std::list<std::shared_ptr<Session>>;
+
+  void Accept();
+  void AcceptAfter(std::chrono::milliseconds wait);
+  void Admit(boost::asio::ip::tcp::socket socket);
+  bool CloseOldestIdle();
+  void CloseDoor();
+  void Remove(Sessions::iterator at);
+
+  boost::asio::io_context& io_;
+  const NodeClock& clock_;
+  Proxy& proxy_;
+  std::vector<ClassSettings> class_settings_;
+  std::unordered_map<std::string, int> classes_, tenants_;
+  std::size_t max_clients_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer timer_;
+  Sessions sessions_;  // the one that was idle the longest comes first
+  bool accepting_ = false, stopping_ = false, door_closed_ = false;
+  std::function<void()> stopped_;
+};
+
+}  // namespace fordlb::node
+
+#endif  // FORDLB_NODE_CLIENT_H_
--- /dev/null
+++ b/src/node/clock.h
@@ -0,0 +1,33 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The one clock of a node: it reads as Unix time in milliseconds, so that discovery's start times need no
+// more than a cast, but is driven by the steady clock, so that module time never jumps.
+#ifndef FORDLB_NODE_CLOCK_H_
+#define FORDLB_NODE_CLOCK_H_
+
+#include <chrono>
+
+#include "fordlb/balancer.h"
+
+namespace fordlb::node {
+
+class NodeClock {
+ public:
+  using Steady = std::chrono::steady_clock;
+
+  TimePoint Now() const { return Epoch() + Duration(Steady::now() - steady_); }
+  // Rounded up: a timer must not fire before the moment that it stands for.
+  Steady::time_point ToSteady(TimePoint at) const {
+    return steady_ + std::chrono::ceil<Steady::duration>(at - Epoch());
+  }
+
+ private:
+  TimePoint Epoch() const { return TimePoint(unix_); }
+
+  Duration unix_{std::chrono::system_clock::now().time_since_epoch()};
+  Steady::time_point steady_ = Steady::now();
+};
+
+}  // namespace fordlb::node
+
+#endif  // FORDLB_NODE_CLOCK_H_
--- /dev/null
+++ b/src/node/discovery.cpp
@@ -0,0 +1,188 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "discovery.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+#include <iostream>
+#include <set>
+
+namespace fordlb::node {
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+namespace {
+
+constexpr std::size_t kMostLine = 4 << 20;  // bytes; far more than the list of any deployment
+constexpr std::size_t kPiece = 16384;       // read at once
+
+int IndexOf(const std::vector<std::string>& names, std::string_view name) {
+  return static_cast<int>(std::find(names.begin(), names.end(), name) - names.begin());
+}
+
+// A status that this build does not know is no leave to send.
+ServerState StateOf(std::string_view status) {
+  if (status == "Ready") return ServerState::kReady;
+  if (status == "Gone") return ServerState::kGone;
+  return ServerState::kDraining;
+}
+
+std::string_view TextAt(const json::object& object, std::string_view key) {
+  const json::string& text = object.at(key).as_string();
+  return {text.data(), text.size()};
+}
+
+double NumberAt(const json::object& object, std::string_view key, double otherwise) {
+  const json::value* found = object.if_contains(key);
+  return found && found->is_number() ? found->to_number<double>() : otherwise;
+}
+
+}  // namespace
+
+// Derived from the name, so that an id is the same at every proxy and after each restart: the module places
+// servers on its ring by id, and proxies that number them differently crowd on the same few.
+ServerId ListReader::IdOf(const std::string& name) {
+  const auto known = ids_.find(name);
+  if (known != ids_.end()) return known->second;
+  ServerId id = 2166136261u;  // FNV-1a
+  for (const char c : name) id = (id ^ static_cast<unsigned char>(c)) * 16777619u;
+  while (!names_.emplace(id, name).second) ++id;  // two names of one hash: the later takes the next id
+  ids_.emplace(name, id);
+  return id;
+}
+
+EndpointList ListReader::Read(const json::value& value) {
+  const json::object& object = value.as_object();
+  const auto index = object.at("index").to_number<std::uint64_t>();
+  EndpointList list;
+  list.snapshot = object.at("snapshot").as_bool();
+  for (const json::value& item : object.at("endpoints").as_array()) {
+    const json::object& fields = item.as_object();
+    Endpoint endpoint;
+    endpoint.entry.state = StateOf(TextAt(fields, "status"));
+    const json::value* where = fields.if_contains("address");
+    const auto address = ParseAddress(
+        where && where->is_string() ? std::string_view(where->get_string().data(), where->get_string().size())
+                                    : std::string_view());
+    if (!address && endpoint.entry.state != ServerState::kGone)
+      throw std::runtime_error("an endpoint without an address");
+    if (address) endpoint.address = *address;
+    endpoint.entry.server = IdOf(std::string(TextAt(fields, "name")));
+    const json::value* zone = fields.if_contains("zone");
+    const json::value* kind = fields.if_contains("type");
+    endpoint.entry.zone = IndexOf(zones_, zone && zone->is_string() ? TextAt(fields, "zone") : "");
+    endpoint.entry.kind = IndexOf(kinds_, kind && kind->is_string() ? TextAt(fields, "type") : "");
+    endpoint.entry.cell = static_cast<int>(NumberAt(fields, "group", 0));
+    endpoint.entry.weight = NumberAt(fields, "weight", 1);
+    endpoint.entry.up_since = TimePoint(Duration(NumberAt(fields, "since_ms", 0)));  // see NodeClock
+    list.endpoints.push_back(endpoint);
+  }
+  index_ = index;
+  return list;
+}
+
+Discovery::Discovery(asio::io_context& io, asio::ip::tcp::endpoint address, ListReader reader, bool ask,
+                     std::uint64_t seed, OnList on_list, std::function<void()> on_failed, Timing timing)
+    : io_(io),
+      address_(std::move(address)),
+      reader_(std::move(reader)),
+      ask_(ask),
+      random_(seed),
+      on_list_(std::move(on_list)),
+      on_failed_(std::move(on_failed)),
+      timing_(timing),
+      backoff_(timing.first_backoff) {}
+
+void Discovery::Watch() {
+  if (stream_) stream_->cancel();
+  asio::co_spawn(io_, Run(++turn_), asio::detached);
+}
+
+asio::awaitable<void> Discovery::Run(std::uint64_t turn) {
+  while (turn == turn_) {
+    try {
+      co_await WatchOnce(turn);
+    } catch (const std::exception& error) {
+      std::cerr << "discovery: " << error.what() << '\n';
+    }
+    if (turn != turn_) co_return;
+    stream_.reset();
+    if (ask_) {
+      on_failed_();
+      co_return;
+    }
+    // Full jitter on the upper half: proxies that lost discovery together must not return together.
+    const auto half = backoff_.count() / 2;
+    const auto wait = half + static_cast<long>(random_() % static_cast<std::uint64_t>(half + 1));
+    backoff_ = std::min(timing_.most_backoff, backoff_ * 2);
+    asio::steady_timer timer(io_, std::chrono::milliseconds(wait));
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+asio::awaitable<void> Discovery::WatchOnce(std::uint64_t turn) {
+  const auto stream = std::make_shared<beast::tcp_stream>(io_);
+  stream_ = stream;
+  beast::error_code error;
+  auto token = asio::redirect_error(asio::use_awaitable, error);
+  stream->expires_after(timing_.silence);
+  co_await stream->async_connect(address_, token);
+  if (error) co_return;
+  stream->socket().set_option(asio::ip::tcp::no_delay(true), error);
+
+  http::request<http::empty_body> request(
+      http::verb::get, "/v1/endpoints?stream=1&index=" + std::to_string(reader_.index()), 11);
+  request.set(http::field::host, "discovery");
+  co_await http::async_write(*stream, request, token);
+  if (error) co_return;
+
+  beast::flat_buffer buffer(2 * kPiece);
+  http::response_parser<http::buffer_body> parser;
+  parser.body_limit(boost::none);  // it lasts; what is kept of it is bounded below
+  co_await http::async_read_header(*stream, buffer, parser, token);
+  if (error || parser.get().result() != http::status::ok) co_return;
+
+  std::string text;
+  std::array<char, kPiece> piece;
+  while (!parser.is_done()) {
+    parser.get().body().data = piece.data();
+    parser.get().body().size = piece.size();
+    stream->expires_after(timing_.silence);  // a cut-off discovery says nothing: the silence is all there is
+    co_await http::async_read_some(*stream, buffer, parser, token);
+    if (error == http::error::need_buffer) error = {};
+    if (turn != turn_) co_return;
+    text.append(piece.data(), piece.size() - parser.get().body().size);
+    if (!TakeLines(&text, turn)) co_return;
+    if (error || text.size() > kMostLine) co_return;
+  }
+}
+
+bool Discovery::TakeLines(std::string* text, std::uint64_t turn) {
+  std::size_t begin = 0;
+  for (std::size_t end; (end = text->find('\n', begin)) != std::string::npos; begin = end + 1) {
+    const std::string_view line(text->data() + begin, end - begin);
+    if (line.find_first_not_of(" \r\t") == std::string_view::npos) continue;  // a heartbeat
+    EndpointList list;
+    try {
+      list = reader_.Read(json::parse(json::string_view(line.data(), line.size())));
+    } catch (const std::exception& error) {
+      std::cerr << "discovery: not a list: " << error.what() << '\n';
+      reader_.Restart();  // what the line held is missing now; only the whole list brings it back
+      return false;
+    }
+    backoff_ = timing_.first_backoff;
+    on_list_(std::move(list));
+    if (turn != turn_) return false;
+  }
+  text->erase(0, begin);
+  return true;
+}
+
+}  // namespace fordlb::node
--- /dev/null
+++ b/src/node/discovery.h
@@ -0,0 +1,90 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The list of backends: watches discovery, reconnects, and turns names into ids.
+#ifndef FORDLB_NODE_DISCOVERY_H_
+#define FORDLB_NODE_DISCOVERY_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/json/value.hpp>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "config.h"
+#include "fordlb/balancer.h"
+
+namespace fordlb::node {
+
+struct Endpoint {
+  ServerEntry entry;
+  boost::asio::ip::tcp::endpoint address;
+};
+struct EndpointList {
+  bool snapshot = false;  // whole: what it does not name is gone
+  std::vector<Endpoint> endpoints;
+};
+
+// Reads lists in discovery's form; keeps the id of each name and the version of the list.
+class ListReader {
+ public:
+  explicit ListReader(const Config& config) : zones_(config.zones), kinds_(config.kinds) {}
+
+  // Throws std::exception if it is no list; then nothing has changed.
+  EndpointList Read(const boost::json::value& list);
+  std::uint64_t index() const { return index_; }
+  void Restart() { index_ = 0; }  // ask for everything again
+
+ private:
+  ServerId IdOf(const std::string& name);
+
+  std::vector<std::string> zones_, kinds_;
+  std::unordered_map<std::string, ServerId> ids_;
+  std::unordered_map<ServerId, std::string> names_;
+  std::uint64_t index_ = 0;
+};
+
+class Discovery {
+ public:
+  struct Timing {
+    std::chrono::milliseconds silence{5000};  // two heartbeats missed: the watch is dead
+    std::chrono::milliseconds first_backoff{50}, most_backoff{1000};
+  };
+  using OnList = std::function<void(EndpointList)>;
+
+  // `ask`: each call is the module's to decide; on_failed tells it when one has ended. Otherwise the watch is
+  // kept up from here.
+  Discovery(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint address, ListReader reader, bool ask,
+            std::uint64_t seed, OnList on_list, std::function<void()> on_failed, Timing timing);
+
+  // Opens the watch, in place of one that is open.
+  void Watch();
+
+ private:
+  boost::asio::awaitable<void> Run(std::uint64_t turn);
+  boost::asio::awaitable<void> WatchOnce(std::uint64_t turn);
+  // Takes complete lines off the text; false if one is no list.
+  bool TakeLines(std::string* text, std::uint64_t turn);
+
+  boost::asio::io_context& io_;
+  boost::asio::ip::tcp::endpoint address_;
+  ListReader reader_;
+  bool ask_;
+  std::mt19937_64 random_;
+  OnList on_list_;
+  std::function<void()> on_failed_;
+  Timing timing_;
+  std::chrono::milliseconds backoff_;
+  std::shared_ptr<boost::beast::tcp_stream> stream_;
+  std::uint64_t turn_ = 0;  // of the newest Watch(): an older one ends at its next step
+};
+
+}  // namespace fordlb::node
+
+#endif  // FORDLB_NODE_DISCOVERY_H_
--- /dev/null
+++ b/src/node/main.cpp
@@ -0,0 +1,78 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// badgerbridge: one proxy on real sockets. Wiring and signals.
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <exception>
+#include <iostream>
+
+#include "backend.h"
+#include "client.h"
+#include "clock.h"
+#include "config.h"
+#include "discovery.h"
+#include "proxy.h"
+
+namespace fordlb::node {
+namespace {
+
+void Run(const Config& config) {
+  boost::asio::io_context io(1);
+  const NodeClock clock;
+  Backends::Limits limits;
+  limits.connections = config.max_backend_connections;
+  limits.connect_timeout = config.connect_timeout;
+  limits.idle_limit = config.idle_limit;
+  limits.drain_grace = config.drain_grace;
+  Backends backends(io, clock, limits);
+  Proxy proxy(io, clock, backends, config);
+
+  ListReader reader(config);
+  EndpointList known;
+  try {
+    if (!config.known.is_null()) known = reader.Read(config.known);
+  } catch (const std::exception& error) {
+    throw BadConfig(std::string("known is not a list of backends: ") + error.what());
+  }
+  known.snapshot = true;
+  Discovery discovery(
+      io, config.discovery, std::move(reader), config.settings.must_ask_for_list, config.seed,
+      [&proxy](const EndpointList& list) {
+        proxy.UpdateList(list.snapshot ? ListKind::kFull : ListKind::kDelta, list);
+      },
+      [&proxy] { proxy.ListFailed(); }, {});
+  proxy.OnSubscribe([&discovery] { discovery.Watch(); });
+  proxy.UpdateList(ListKind::kCached, known);
+  if (!config.settings.must_ask_for_list) discovery.Watch();
+
+  Listener listener(io, clock, proxy, config);
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait([&](const boost::system::error_code& error, int) {
+    if (!error) listener.Stop([&io] { io.stop(); });
+  });
+
+  while (!io.stopped()) {
+    try {
+      io.run();
+    } catch (const std::exception& error) {
+      // A handler failed; what it was about is ended by its own deadline. All others go on.
+      std::cerr << "badgerbridge: " << error.what() << '\n';
+    }
+  }
+}
+
+}  // namespace
+}  // namespace fordlb::node
+
+int main() {
+  std::signal(SIGPIPE, SIG_IGN);
+  try {
+    fordlb::node::Run(fordlb::node::ReadConfig([](const char* name) { return std::getenv(name); }));
+  } catch (const std::exception& error) {
+    std::cerr << "badgerbridge: " << error.what() << '\n';
+    return 1;
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/node/proxy.h
@@ -0,0 +1,90 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Between the sockets and the module: events in, actions out, timers, and the table of requests.
+#ifndef FORDLB_NODE_PROXY_H_
+#define FORDLB_NODE_PROXY_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "backend.h"
+#include "clock.h"
+#include "config.h"
+#include "discovery.h"
+#include "fordlb/balancer.h"
+
+namespace fordlb::node {
+
+struct Answer {
+  unsigned status = 500;
+  std::string body, content_type;
+  Duration retry_after{0};  // 0: no advice
+};
+
+class Proxy {
+ public:
+  using OnAnswer = std::function<void(Answer)>;
+
+  Proxy(boost::asio::io_context& io, const NodeClock& clock, Backends& backends, const Config& config);
+
+  // Where the module asks for the list.
+  void OnSubscribe(std::function<void()> subscribe) { subscribe_ = std::move(subscribe); }
+
+  // Takes a request, whose `request` is set here and whose `due` is when the client gives up. `answer` is
+  // called exactly once, before that, unless ClientGone comes first.
+  RequestId Take(Submit submit, std::shared_ptr<const Forwarded> forwarded, OnAnswer answer);
+  void Gone(RequestId request);
+  void UpdateList(ListKind kind, const EndpointList& list);
+  void ListFailed();
+  bool CanServe() const { return backends_.AnyReady(); }
+  std::size_t open() const { return table_.size(); }
+
+ private:
+  struct Entry {
+    std::shared_ptr<const Forwarded> forwarded;
+    OnAnswer answer;
+    TimePoint due{};          // of its attempts
+    TimePoint last_resort{};  // then this node answers, whatever the module does
+    int attempts = 0;
+  };
+
+  void Post(Event event);
+  void Turn();
+  void Handle(TimePoint now, const Event& event);
+  void FireDue(TimePoint now);
+  void Perform(const Dispatch& action);
+  void Perform(const Refuse& action);
+  void Perform(const Fail& action);
+  void Perform(const SetTimer& action);
+  void Perform(const Subscribe& action);
+  void Perform(const Log& action);
+  void OnAttemptEnd(AttemptEnded end, TimePoint sent, AttemptResult result);
+  void Settle(RequestId request, Answer answer);
+  void Arm();
+
+  const NodeClock& clock_;
+  Backends& backends_;
+  int max_attempts_;
+  Balancer balancer_;
+  std::function<void()> subscribe_;
+  std::unordered_map<RequestId, Entry> table_;
+  RequestId last_request_ = 0;
+  std::deque<Event> queue_;  // raised, and not yet handled
+  bool handling_ = false;
+  std::set<std::pair<TimePoint, std::uint64_t>> timers_;  // the module's, by token
+  std::set<std::pair<TimePoint, RequestId>> last_resorts_;
+  boost::asio::steady_timer timer_;  // for the first of either
+  TimePoint armed_{Duration(1e300)};
+};
+
+}  // namespace fordlb::node
+
+#endif  // FORDLB_NODE_PROXY_H_
