Test the node over loopback sockets

Cause: the node had no tests. They are scripted peers on ephemeral ports, one io_context, and wait for conditions.

Seen while writing them: the slow-request timer was not set again for a request half read when the one before it had been answered (client.cpp, Proceed); it is now.

--- a/src/node/client.cpp
+++ b/src/node/client.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "client.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -43,10 +44,7 @@
   if (found == params.end() || !(*found).has_value) return 0;
   const std::string value((*found).value);
   if (value.empty()) return 0;
-  std::uint64_t key = 0;
-  const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), key, 16);
-  if (error == std::errc() && end == value.data() + value.size() && key != 0) return key;
-  return std::hash<std::string>()(value) | 1;
+  return std::max<std::uint64_t>(1, std::hash<std::string>()(value));
 }
 
 }  // namespace
@@ -120,8 +118,7 @@
     if (!begun_) NoteBegin();
     if (malformed) failed_ = error;
     if (!malformed && !parser_->is_done()) {
-      if (serving_ == 0 && !writing_)
-        if (!timed_) SetTimer(kSlowRequest);
+      if (serving_ == 0 && !writing_ && !timed_) SetTimer(kSlowRequest);
       return Read();
     }
     Proceed();
@@ -138,7 +135,10 @@
       if (error == http::error::header_limit) return Reject(431, "the header is too large\n");
       return Reject(400, "malformed request: " + error.message() + "\n");
     }
-    if (!parser_->is_done()) return;
+    if (!parser_->is_done()) {
+      if (begun_) SetTimer(kSlowRequest);
+      return;
+    }
     const http::request<http::string_body> request = parser_->release();
     keep_alive_ = request.keep_alive();
     const TimePoint began = began_;
--- /dev/null
+++ b/tests/node_backend_test.cpp
@@ -0,0 +1,275 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Attempts and the pool, against scripted backends: each outcome of the protocol's table, once each.
+#include <gtest/gtest.h>
+
+#include "node_harness.h"
+
+namespace fordlb::node::testing {
+namespace {
+
+constexpr ServerId kServer = 5;
+
+class BackendTest : public ::testing::Test {
+ protected:
+  EndpointList ListOf(tcp::endpoint address, ServerState state = ServerState::kReady) {
+    EndpointList list;
+    list.endpoints.push_back({});
+    list.endpoints.back().entry.server = kServer;
+    list.endpoints.back().entry.state = state;
+    list.endpoints.back().address = std::move(address);
+    return list;
+  }
+  void Use(Peer& peer, Backends::Limits limits = {}) {
+    limits.drain_grace = Duration(500);
+    backends = std::make_unique<Backends>(io, clock, limits);
+    backends->Update(ListOf(peer.endpoint()));
+  }
+  void Send(Duration timeout = Duration(10000), const std::string& body = "") {
+    auto request = std::make_shared<Forwarded>();
+    request->method = body.empty() ? boost::beast::http::verb::get : boost::beast::http::verb::post;
+    request->target = "/preview?obj=1";
+    request->correlation_id = "c" + std::to_string(sent++);
+    request->body = body;
+    backends->Send(kServer, request, timeout, [this](AttemptResult result) { results.push_back(result); });
+  }
+  // The one result of one more attempt.
+  Outcome Outcome1(Duration timeout = Duration(10000)) {
+    const std::size_t before = results.size();
+    Send(timeout);
+    EXPECT_EQ(results.size(), before) << "ended from within the call";
+    EXPECT_TRUE(RunUntil(io, [&] { return results.size() > before; }));
+    RunReady(io);
+    EXPECT_EQ(results.size(), before + 1) << "ended more than once";
+    return results.size() > before ? results.back().outcome : Outcome::kUnknown;
+  }
+
+  asio::io_context io;
+  NodeClock clock;
+  std::unique_ptr<Backends> backends;
+  std::vector<AttemptResult> results;
+  int sent = 0;
+};
+
+TEST_F(BackendTest, AnswersMapToOutcomes) {
+  std::string reply;
+  Peer peer(io, [&](Wire& wire) { wire.Send(reply); });
+  Use(peer);
+  const std::pair<std::string, Outcome> cases[] = {
+      {Reply(200, "hello"), Outcome::kOk},
+      {Reply(500), Outcome::kError},
+      {Reply(503, "", "X-Unprocessed: 1\r\n"), Outcome::kFull},
+      {Reply(504, "", "X-Unprocessed: 1\r\n"), Outcome::kFull},
+      {Reply(503), Outcome::kError},  // nothing proves that it never ran
+      {Reply(504, "", "X-Unprocessed: 0\r\n"), Outcome::kError},
+      {Reply(500, "", "X-Unprocessed: 1\r\n"), Outcome::kError},
+      {Reply(404), Outcome::kError},
+  };
+  for (const auto& [text, outcome] : cases) {
+    reply = text;
+    EXPECT_EQ(Outcome1(), outcome) << text;
+  }
+  EXPECT_EQ(results[0].body, "hello");
+  EXPECT_EQ(peer.wires.size(), 1u) << "a connection is kept whatever the answer says";
+}
+
+TEST_F(BackendTest, RefusedIsCouldNotConnect) {
+  Peer peer(io, [](Wire&) {});
+  Use(peer);
+  peer.Refuse();
+  EXPECT_EQ(Outcome1(), Outcome::kConnectFailed);
+  EXPECT_EQ(backends->open(), 0u);
+}
+
+TEST_F(BackendTest, UnknownServerIsCouldNotConnect) {
+  backends = std::make_unique<Backends>(io, clock, Backends::Limits{});
+  EXPECT_EQ(Outcome1(), Outcome::kConnectFailed);
+}
+
+// A listener whose queue is full never answers: the settings' time is all that ends the wait.
+TEST_F(BackendTest, ConnectTakesNoLongerThanTheSettingsSay) {
+  tcp::acceptor full(io);
+  full.open(tcp::v4());
+  full.bind({asio::ip::address_v4::loopback(), 0});
+  full.listen(0);
+  std::vector<tcp::socket> fill;
+  for (int i = 0; i < 4; ++i) {
+    fill.emplace_back(io);
+    fill.back().async_connect(full.local_endpoint(), [](ErrorCode) {});
+  }
+  Backends::Limits limits;
+  limits.connect_timeout = Duration(30);
+  backends = std::make_unique<Backends>(io, clock, limits);
+  backends->Update(ListOf(full.local_endpoint()));
+  RunReady(io);
+  EXPECT_EQ(Outcome1(), Outcome::kConnectFailed);
+}
+
+TEST_F(BackendTest, BrokenAfterTheRequestIsAReset) {
+  std::function<void(Wire&)> script = [](Wire& wire) { wire.Reset(); };
+  Peer peer(io, [&](Wire& wire) { script(wire); });
+  Use(peer);
+  EXPECT_EQ(Outcome1(), Outcome::kReset);
+  script = [](Wire& wire) { wire.Close(); };
+  EXPECT_EQ(Outcome1(), Outcome::kReset);
+  EXPECT_EQ(peer.requests.size(), 2u) << "sent again by itself";
+}
+
+TEST_F(BackendTest, HalfReadAnswerIsAReset) {
+  Peer peer(io, [](Wire& wire) {
+    wire.Send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+    wire.Close();
+  });
+  Use(peer);
+  EXPECT_EQ(Outcome1(), Outcome::kReset);
+  EXPECT_EQ(results.back().body, "");
+}
+
+TEST_F(BackendTest, AnAnswerBeyondTheBodyLimitIsNone) {
+  Peer peer(io, [](Wire& wire) { wire.Send(Reply(200, std::string(70000, 'x'))); });
+  Use(peer);
+  EXPECT_EQ(Outcome1(), Outcome::kReset);
+}
+
+// What the backend can't have read whole never ran: nobody reads here, and the request is larger than what
+// the kernel holds for it.
+TEST_F(BackendTest, AnUnfinishedRequestNeverRan) {
+  tcp::acceptor silent(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  silent.set_option(asio::socket_base::receive_buffer_size(4096));
+  tcp::socket accepted(io);
+  silent.async_accept(accepted, [](ErrorCode) {});
+  backends = std::make_unique<Backends>(io, clock, Backends::Limits{});
+  backends->Update(ListOf(silent.local_endpoint()));
+  Send(Duration(200), std::string(32 << 20, 'x'));
+  ASSERT_TRUE(RunUntil(io, [&] { return !results.empty(); }));
+  RunReady(io);
+  ASSERT_EQ(results.size(), 1u);
+  EXPECT_EQ(results[0].outcome, Outcome::kConnectFailed);
+}
+
+TEST_F(BackendTest, TimedOutClosesTheConnectionAndIsNotReused) {
+  Peer peer(io, [](Wire&) {});
+  Use(peer);
+  EXPECT_EQ(Outcome1(Duration(30)), Outcome::kTimeout);
+  EXPECT_EQ(backends->open(), 0u);
+  EXPECT_TRUE(RunUntil(io, [&] { return peer.wires[0]->closed; }));
+}
+
+TEST_F(BackendTest, NewestIdleConnectionComesFirst) {
+  std::vector<Wire*> waiting;
+  Peer peer(io, [&](Wire& wire) { waiting.push_back(&wire); });
+  Use(peer);
+  Send();
+  Send();
+  ASSERT_TRUE(RunUntil(io, [&] { return waiting.size() == 2; }));
+  Wire* const first = waiting[0];
+  Wire* const second = waiting[1];
+  second->Send(Reply(200));
+  ASSERT_TRUE(RunUntil(io, [&] { return results.size() == 1; }));
+  first->Send(Reply(200));
+  ASSERT_TRUE(RunUntil(io, [&] { return results.size() == 2; }));
+  Send();
+  ASSERT_TRUE(RunUntil(io, [&] { return waiting.size() == 3; }));
+  EXPECT_EQ(waiting[2], first);
+  EXPECT_EQ(peer.wires.size(), 2u);
+}
+
+// A request on a connection that the backend has closed would end as a reset that may have run.
+TEST_F(BackendTest, AClosedIdleConnectionIsNotUsed) {
+  Peer peer(io, [](Wire& wire) { wire.Send(Reply(200)); });
+  Use(peer);
+  EXPECT_EQ(Outcome1(), Outcome::kOk);
+  peer.wires[0]->Close();  // and at once, before the pending read has had its turn:
+  EXPECT_EQ(Outcome1(), Outcome::kOk);
+  EXPECT_EQ(peer.wires.size(), 2u);
+  peer.wires[1]->Close();
+  EXPECT_TRUE(RunUntil(io, [&] { return backends->open() == 0; })) << "the pending read sees the close";
+}
+
+TEST_F(BackendTest, IdleConnectionsAreRetiredBeforeTheBackendsLimit) {
+  Peer peer(io, [](Wire& wire) { wire.Send(Reply(200)); });
+  Backends::Limits limits;
+  limits.idle_limit = Duration(200);
+  Use(peer, limits);
+  EXPECT_EQ(Outcome1(), Outcome::kOk);
+  const TimePoint idle_since = clock.Now();
+  ASSERT_TRUE(RunUntil(io, [&] { return backends->open() == 0; }));
+  EXPECT_GE((clock.Now() - idle_since).count(), 140);
+}
+
+TEST_F(BackendTest, FewSparesAreKept) {
+  std::vector<Wire*> waiting;
+  Peer peer(io, [&](Wire& wire) { waiting.push_back(&wire); });
+  Backends::Limits limits;
+  limits.idle_per_backend = 2;
+  Use(peer, limits);
+  for (int i = 0; i < 5; ++i) Send();
+  ASSERT_TRUE(RunUntil(io, [&] { return waiting.size() == 5; }));
+  for (Wire* wire : waiting) wire->Send(Reply(200));
+  ASSERT_TRUE(RunUntil(io, [&] { return results.size() == 5; }));
+  EXPECT_EQ(backends->open(), 2u);
+}
+
+TEST_F(BackendTest, AtTheLimitTheOldestIdleMakesRoomAndElseItCannotConnect) {
+  Peer first(io, [](Wire& wire) { wire.Send(Reply(200)); });
+  Peer second(io, [](Wire&) {});
+  Backends::Limits limits;
+  limits.connections = 1;
+  Use(first, limits);
+  EXPECT_EQ(Outcome1(), Outcome::kOk);
+  EndpointList other = ListOf(second.endpoint());
+  other.endpoints[0].entry.server = kServer + 1;
+  backends->Update(other);
+  auto request = std::make_shared<Forwarded>();
+  request->target = "/";
+  backends->Send(kServer + 1, request, Duration(10000), [&](AttemptResult) {});
+  ASSERT_TRUE(RunUntil(io, [&] { return second.requests.size() == 1; }));
+  EXPECT_EQ(backends->open(), 1u);
+  EXPECT_EQ(Outcome1(), Outcome::kConnectFailed);
+}
+
+// A machine that comes back under another address is the same backend; its old connections are not.
+TEST_F(BackendTest, ANewAddressTakesOver) {
+  Peer old_place(io, [](Wire& wire) { wire.Send(Reply(200)); });
+  Peer new_place(io, [](Wire& wire) { wire.Send(Reply(200)); });
+  Use(old_place);
+  EXPECT_EQ(Outcome1(), Outcome::kOk);
+  backends->Update(ListOf(new_place.endpoint()));
+  EXPECT_EQ(Outcome1(), Outcome::kOk);
+  EXPECT_EQ(new_place.requests.size(), 1u);
+  EXPECT_EQ(old_place.requests.size(), 1u);
+}
+
+// The drain counts from what was told to the first byte: an attempt dispatched before may come too late.
+TEST_F(BackendTest, NothingIsBegunOnADrainedBackend) {
+  Peer peer(io, [](Wire& wire) { wire.Send(Reply(200)); });
+  Backends::Limits limits;
+  Use(peer, limits);
+  Send();
+  // Told while the connection comes up, and longer ago than the grace allows: the node is stopped in between,
+  // as a busy machine would.
+  backends->Update(ListOf(peer.endpoint(), ServerState::kDraining));
+  const TimePoint told = clock.Now();
+  while (clock.Now() - told < Duration(300)) {
+  }
+  ASSERT_TRUE(RunUntil(io, [&] { return !results.empty(); }));
+  EXPECT_EQ(results[0].outcome, Outcome::kConnectFailed);
+  EXPECT_EQ(Outcome1(), Outcome::kConnectFailed);
+  RunReady(io);
+  EXPECT_TRUE(peer.requests.empty());
+}
+
+TEST_F(BackendTest, AFullListEndsWhatItDoesNotName) {
+  Peer peer(io, [](Wire& wire) { wire.Send(Reply(200)); });
+  Use(peer);
+  EXPECT_EQ(Outcome1(), Outcome::kOk);
+  EXPECT_TRUE(backends->AnyReady());
+  EndpointList nothing;
+  nothing.snapshot = true;
+  backends->Update(nothing);
+  EXPECT_FALSE(backends->AnyReady());
+  EXPECT_EQ(backends->open(), 0u);
+}
+
+}  // namespace
+}  // namespace fordlb::node::testing
--- /dev/null
+++ b/tests/node_harness.h
@@ -0,0 +1,228 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Scripted peers on ephemeral loopback ports, and a node in this process. Everything runs on one io_context,
+// and a test waits for conditions only.
+#ifndef FORDLB_TESTS_NODE_HARNESS_H_
+#define FORDLB_TESTS_NODE_HARNESS_H_
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "backend.h"
+#include "client.h"
+#include "clock.h"
+#include "config.h"
+#include "proxy.h"
+
+namespace fordlb::node::testing {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+// One end of a connection, in plain text.
+struct Wire : std::enable_shared_from_this<Wire> {
+  explicit Wire(tcp::socket s) : socket(std::move(s)) {}
+
+  void Start() {
+    socket.async_read_some(asio::buffer(piece), [self = shared_from_this()](ErrorCode error, std::size_t n) {
+      if (error) {
+        self->closed = true;
+        return;
+      }
+      self->in.append(self->piece.data(), n);
+      if (self->on_data) self->on_data(*self);
+      self->Start();
+    });
+  }
+  void Send(std::string_view text) {
+    ErrorCode ignored;
+    asio::write(socket, asio::buffer(text.data(), text.size()), ignored);
+  }
+  void Close() {
+    ErrorCode ignored;
+    socket.shutdown(tcp::socket::shutdown_both, ignored);
+    socket.close(ignored);
+  }
+  void Reset() {
+    ErrorCode ignored;
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+  }
+
+  tcp::socket socket;
+  std::array<char, 65536> piece;
+  std::string in;
+  bool closed = false;  // by the other side
+  std::function<void(Wire&)> on_data;
+};
+
+// A body, where there is one, ends with "END".
+inline bool Whole(const std::string& text) {
+  if (text.find("\r\n\r\n") == std::string::npos) return false;
+  const bool body = text.find("Content-Length: ") != std::string::npos &&
+                    text.find("Content-Length: 0\r\n") == std::string::npos;
+  return !body || text.ends_with("END");
+}
+
+inline std::string Reply(int status, std::string_view body = "", std::string_view headers = "") {
+  return "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n" + std::string(headers) + "\r\n" + std::string(body);
+}
+
+// Listens; calls the script with each whole request, then forgets the request's text.
+class Peer {
+ public:
+  using Script = std::function<void(Wire&)>;
+
+  Peer(asio::io_context& io, Script script)
+      : acceptor_(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)), script_(std::move(script)) {
+    Accept();
+  }
+  tcp::endpoint endpoint() const { return acceptor_.local_endpoint(); }
+  std::string address() const { return "127.0.0.1:" + std::to_string(endpoint().port()); }
+  void Refuse() { acceptor_.close(); }
+
+  std::vector<std::shared_ptr<Wire>> wires;
+  std::vector<std::string> requests;
+
+ private:
+  void Accept() {
+    acceptor_.async_accept([this](ErrorCode error, tcp::socket socket) {
+      if (error) return;
+      wires.push_back(std::make_shared<Wire>(std::move(socket)));
+      wires.back()->on_data = [this](Wire& wire) {
+        if (!Whole(wire.in)) return;
+        requests.push_back(std::exchange(wire.in, {}));
+        script_(wire);
+      };
+      wires.back()->Start();
+      Accept();
+    });
+  }
+
+  tcp::acceptor acceptor_;
+  Script script_;
+};
+
+// Runs until the condition holds; false if it does not within a time far beyond any need.
+template <typename Condition>
+bool RunUntil(asio::io_context& io, Condition holds) {
+  const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+  while (!holds()) {
+    if (std::chrono::steady_clock::now() > limit) return false;
+    io.restart();
+    io.run_one_for(std::chrono::milliseconds(50));
+  }
+  return true;
+}
+
+// Nothing more is ready to run.
+inline void RunReady(asio::io_context& io) {
+  io.restart();
+  io.poll();
+}
+
+inline std::string EndpointJson(const std::string& name, const std::string& address,
+                                const std::string& status = "Ready", int group = 1, double since_ms = 0) {
+  return R"({"name":")" + name + R"(","address":")" + address +
+         R"(","zone":"ebene","type":"type-a","group":)" + std::to_string(group) + R"(,"status":")" + status +
+         R"(","weight":1.0,"since_ms":)" + std::to_string(since_ms) + "}";
+}
+
+inline std::string ListJson(int index, bool snapshot, const std::vector<std::string>& endpoints) {
+  std::string text = R"({"index":)" + std::to_string(index) + R"(,"snapshot":)" +
+                     (snapshot ? "true" : "false") + R"(,"endpoints":[)";
+  for (std::size_t i = 0; i < endpoints.size(); ++i) text += (i > 0 ? "," : "") + endpoints[i];
+  return text + "]}";
+}
+
+// preview is safe, convert keyed, certify unsafe; deadlines of a second.
+inline std::string ConfigJson(const std::vector<std::string>& known, int sockets = 1024,
+                              const std::string& tenants = "[]") {
+  return R"({"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"00000000000000a5",
+"limits":{"cores":1.0,"memory_mb":192,"sockets":)" +
+         std::to_string(sockets) + R"(},"known":)" + ListJson(7, true, known) + R"(,"settings":{
+"balancers":1,"me":0,"zone":0,"zones":["port louis","ebene"],"kinds":["type-a","type-b"],"tenants":)" +
+         tenants + R"(,"periodMs":5.0,"registryMode":"push","classes":[
+{"name":"preview","effect":"read_like","group":"all","windowMs":5000.0,"goalTimeMs":500.0,"deadlineMs":1000.0,"worth":1.0},
+{"name":"convert","effect":"idempotency_key","group":"cell","windowMs":10000.0,"goalTimeMs":500.0,"deadlineMs":1000.0,"worth":3.0},
+{"name":"certify","effect":"non_idempotent","group":"all","windowMs":5000.0,"goalTimeMs":500.0,"deadlineMs":1000.0,"worth":5.0}],
+"permissions":{"maxAttempts":4,"connectTimeoutMs":250.0,"connIdleMs":60000.0,"retryAfter":true,"maxRetryAfterMs":600.0},
+"rules":{"coldFrom":0.2,"warmUpMs":24000.0,"fallMultiple":2.5,"overloadForMs":3000.0,"drainGraceMs":500.0}}})";
+}
+
+inline Config TestConfig(const std::vector<std::string>& known, int sockets = 1024,
+                         const std::string& tenants = "[]") {
+  return ParseConfig(ConfigJson(known, sockets, tenants), [](const char*) { return nullptr; });
+}
+
+inline std::string Get(const std::string& id, const std::string& more = "") {
+  return "GET /preview?obj=7f3a9c21e0b4d655 HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: " + id +
+         "\r\nX-Service-Class: preview\r\nX-Time-Left-Ms: 900\r\n" + more + "\r\n";
+}
+inline std::string Post(const std::string& id, const std::string& cls, const std::string& body,
+                        const std::string& more = "") {
+  return "POST /" + cls + "?obj=9 HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: " + id +
+         "\r\nX-Service-Class: " + cls + "\r\nX-Time-Left-Ms: 900\r\n" + more +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// All of a node but discovery and signals.
+struct Node {
+  Node(asio::io_context& context, const Config& config)
+      : io(context),
+        backends(io, clock, LimitsOf(config)),
+        proxy(io, clock, backends, config),
+        reader(config),
+        listener((Tell(config), io), clock, proxy, config) {}
+
+  static Backends::Limits LimitsOf(const Config& config) {
+    Backends::Limits limits;
+    limits.connections = config.max_backend_connections;
+    limits.connect_timeout = config.connect_timeout;
+    limits.idle_limit = config.idle_limit;
+    limits.drain_grace = config.drain_grace;
+    return limits;
+  }
+  void Tell(const Config& config) {
+    if (!config.known.is_null()) proxy.UpdateList(ListKind::kCached, reader.Read(config.known));
+  }
+  std::shared_ptr<Wire> Connect() {
+    tcp::socket socket(io);
+    socket.connect(listener.address());
+    auto wire = std::make_shared<Wire>(std::move(socket));
+    wire->Start();
+    return wire;
+  }
+  // Sends on a new connection and waits for an answer that ends with `end`, or a close.
+  std::string Ask(const std::string& request, const std::string& end = "\r\n\r\n") {
+    const auto wire = Connect();
+    wire->Send(request);
+    EXPECT_TRUE(RunUntil(io, [&] { return wire->closed || wire->in.find(end) != std::string::npos; }))
+        << wire->in;
+    return wire->in;
+  }
+
+  asio::io_context& io;
+  NodeClock clock;
+  Backends backends;
+  Proxy proxy;
+  ListReader reader;
+  Listener listener;
+};
+
+}  // namespace fordlb::node::testing
+
+#endif  // FORDLB_TESTS_NODE_HARNESS_H_
--- /dev/null
+++ b/tests/node_process_test.cpp
@@ -0,0 +1,147 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// badgerbridge as a process: bad configurations, too few descriptors, signals.
+#include <gtest/gtest.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+#include "node_harness.h"
+
+namespace fordlb::node::testing {
+namespace {
+
+// An address that no other test process uses.
+std::string OwnAddress() {
+  const int pid = getpid();
+  return "127.77." + std::to_string(pid >> 8 & 127) + "." + std::to_string(pid % 250 + 1) + ":8080";
+}
+
+class Program {
+ public:
+  Program(const std::string& config, const std::string& listen, rlim_t descriptors = 0)
+      : folder_(::testing::TempDir() + "badgerbridge_XXXXXX") {
+    EXPECT_NE(mkdtemp(folder_.data()), nullptr);
+    std::ofstream(folder_ + "/config.json") << config;
+    pid_ = fork();
+    if (pid_ != 0) return;
+    setenv("ROUTER_CONFIG", (folder_ + "/config.json").c_str(), 1);
+    setenv("ROUTER_LISTEN", listen.c_str(), 1);
+    if (descriptors > 0) {
+      const rlimit limit{descriptors, descriptors};
+      setrlimit(RLIMIT_NOFILE, &limit);
+    }
+    if (!std::freopen((folder_ + "/err").c_str(), "w", stderr)) _exit(126);
+    execl(NODE_PATH, NODE_PATH, static_cast<char*>(nullptr));
+    _exit(127);
+  }
+  ~Program() {
+    if (pid_ > 0) {
+      kill(pid_, SIGKILL);
+      waitpid(pid_, nullptr, 0);
+    }
+    for (const char* name : {"/config.json", "/err"}) unlink((folder_ + name).c_str());
+    rmdir(folder_.c_str());
+  }
+  void Signal(int signal) const { kill(pid_, signal); }
+  int Wait() {  // the exit code; -1 for another end
+    int status = 0;
+    waitpid(std::exchange(pid_, -1), &status, 0);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  }
+  std::string Log() const {
+    std::ifstream in(folder_ + "/err");
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+  }
+
+ private:
+  std::string folder_;
+  pid_t pid_ = -1;
+};
+
+std::shared_ptr<Wire> ConnectTo(asio::io_context& io, const std::string& address) {
+  std::shared_ptr<Wire> wire;
+  RunUntil(io, [&] {
+    tcp::socket socket(io);
+    ErrorCode error;
+    socket.connect(*ParseAddress(address), error);
+    if (error) {
+      std::this_thread::yield();
+      return false;
+    }
+    wire = std::make_shared<Wire>(std::move(socket));
+    wire->Start();
+    return true;
+  });
+  return wire;
+}
+
+TEST(NodeProcess, ABadConfigurationIsOnePlainLineAndANonZeroExit) {
+  const std::string bad_list = [] {
+    std::string text = ConfigJson({"7"});
+    return text;
+  }();
+  for (const std::string& config : {std::string("{"), bad_list}) {
+    Program program(config, OwnAddress());
+    EXPECT_EQ(program.Wait(), 1);
+    const std::string log = program.Log();
+    EXPECT_EQ(std::count(log.begin(), log.end(), '\n'), 1) << log;
+    EXPECT_EQ(log.rfind("badgerbridge: ", 0), 0u) << log;
+  }
+}
+
+TEST(NodeProcess, AnAddressThatIsNotItsOwnIsAPlainLine) {
+  Program program(ConfigJson({}), "192.0.2.1:8080");
+  EXPECT_EQ(program.Wait(), 1);
+  EXPECT_EQ(program.Log().rfind("badgerbridge: ", 0), 0u);
+}
+
+TEST(NodeProcess, TermAnswersWhatWasTakenAndExitsWithZero) {
+  asio::io_context io;
+  Wire* waiting = nullptr;
+  Peer backend(io, [&](Wire& wire) { waiting = &wire; });
+  const std::string address = OwnAddress();
+  Program program(ConfigJson({EndpointJson("a", backend.address())}), address);
+  const auto client = ConnectTo(io, address);
+  ASSERT_TRUE(client);
+  client->Send(Get("c1"));
+  ASSERT_TRUE(RunUntil(io, [&] { return waiting != nullptr; }));
+  program.Signal(SIGTERM);
+  waiting->Send(Reply(200, "ok"));
+  ASSERT_TRUE(RunUntil(io, [&] { return client->in.ends_with("ok"); }));
+  client->Close();
+  EXPECT_EQ(program.Wait(), 0);
+}
+
+// Out of descriptors, accept fails over and over: the node must neither end nor stay deaf.
+TEST(NodeProcess, SurvivesRunningOutOfDescriptors) {
+  asio::io_context io;
+  Peer backend(io, [](Wire& wire) { wire.Send(Reply(200, "ok")); });
+  const std::string address = OwnAddress();
+  Program program(ConfigJson({EndpointJson("a", backend.address())}), address, 24);
+  std::vector<std::shared_ptr<Wire>> crowd;
+  for (int i = 0; i < 40; ++i) {
+    crowd.push_back(ConnectTo(io, address));
+    ASSERT_TRUE(crowd.back());
+    crowd.back()->Send("GET /ready HTTP/1.1\r\n");  // begun: it can't be closed as idle
+  }
+  RunReady(io);
+  for (const auto& wire : crowd) wire->Close();
+  const auto client = ConnectTo(io, address);
+  client->Send("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(RunUntil(io, [&] { return client->in.rfind("HTTP/1.1 200 ", 0) == 0; })) << program.Log();
+  program.Signal(SIGTERM);
+  client->Close();
+  EXPECT_EQ(program.Wait(), 0) << program.Log();
+}
+
+}  // namespace
+}  // namespace fordlb::node::testing
--- /dev/null
+++ b/tests/node_proxy_test.cpp
@@ -0,0 +1,265 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// A node between scripted clients and backends: one final answer each, and what is forwarded.
+#include <gtest/gtest.h>
+
+#include "node_harness.h"
+
+namespace fordlb::node::testing {
+namespace {
+
+int Count(const std::string& text, const std::string& what) {
+  int n = 0;
+  for (std::size_t at = 0; (at = text.find(what, at)) != std::string::npos; at += what.size()) ++n;
+  return n;
+}
+bool Failed(const std::string& answer) {
+  return answer.rfind("HTTP/1.1 500 ", 0) == 0 || answer.rfind("HTTP/1.1 502 ", 0) == 0 ||
+         answer.rfind("HTTP/1.1 504 ", 0) == 0;
+}
+bool Refused(const std::string& answer) { return answer.rfind("HTTP/1.1 503 ", 0) == 0; }
+bool Served(const std::string& answer) { return answer.rfind("HTTP/1.1 200 ", 0) == 0; }
+
+class NodeTest : public ::testing::Test {
+ protected:
+  void Start(std::vector<std::string> known, int sockets = 1024, const std::string& tenants = "[]") {
+    node = std::make_unique<Node>(io, TestConfig(known, sockets, tenants));
+  }
+  asio::io_context io;
+  std::unique_ptr<Node> node;
+};
+
+TEST_F(NodeTest, ForwardsByteForByteAndAnswersUnchanged) {
+  Peer backend(
+      io, [](Wire& wire) { wire.Send(Reply(200, "the answer\r\n\0x", "X-Backend-Load: inflight=7\r\n")); });
+  Start({EndpointJson("a", backend.address())});
+  const std::string body = "a\r\n\r\nb%20END";
+  const std::string answer = node->Ask(
+      "POST /convert/x%2Fy?obj=7f&z=%41 HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: 9b1F\r\n"
+      "X-Service-Class: convert\r\nX-Account: acme\r\nX-Time-Left-Ms: 900\r\nIdempotency-Key: 5C0f\r\n"
+      "Content-Length: " +
+          std::to_string(body.size()) + "\r\n\r\n" + body,
+      "the answer");
+  EXPECT_TRUE(Served(answer)) << answer;
+  ASSERT_EQ(backend.requests.size(), 1u);
+  const std::string& request = backend.requests[0];
+  EXPECT_EQ(request.find("POST /convert/x%2Fy?obj=7f&z=%41 HTTP/1.1\r\n"), 0u) << request;
+  EXPECT_NE(request.find("X-Correlation-Id: 9b1F\r\n"), std::string::npos);
+  EXPECT_NE(request.find("Idempotency-Key: 5C0f\r\n"), std::string::npos);
+  EXPECT_TRUE(request.ends_with("\r\n\r\n" + body)) << request;
+  const std::size_t left = request.find("X-Time-Left-Ms: ");
+  ASSERT_NE(left, std::string::npos);
+  const int ms = std::stoi(request.substr(left + 16));
+  EXPECT_LE(ms, 900);
+  EXPECT_GT(ms, 0);
+}
+
+TEST_F(NodeTest, ReusesConnectionsOnBothSides) {
+  Peer backend(io, [](Wire& wire) { wire.Send(Reply(200, "ok")); });
+  Start({EndpointJson("a", backend.address())});
+  const auto client = node->Connect();
+  for (int i = 1; i <= 5; ++i) {
+    client->Send(Get("c" + std::to_string(i)));
+    ASSERT_TRUE(RunUntil(io, [&] { return Count(client->in, "HTTP/1.1 200 ") == i; }));
+  }
+  EXPECT_EQ(backend.wires.size(), 1u);
+  EXPECT_FALSE(client->closed);
+}
+
+TEST_F(NodeTest, RequestsThatComeTogetherAreAnsweredInOrder) {
+  Peer backend(
+      io, [&backend](Wire& wire) { wire.Send(Reply(200, "n" + std::to_string(backend.requests.size()))); });
+  Start({EndpointJson("a", backend.address())});
+  const auto client = node->Connect();
+  client->Send(Get("c1") + Get("c2"));
+  ASSERT_TRUE(RunUntil(io, [&] { return Count(client->in, "HTTP/1.1 200 ") == 2; }));
+  EXPECT_LT(client->in.find("n1"), client->in.find("n2"));
+}
+
+TEST_F(NodeTest, WhatNeverRanIsTriedElsewhere) {
+  int asked = 0;
+  const auto script = [&](Wire& wire) {
+    wire.Send(++asked == 1 ? Reply(503, "", "X-Unprocessed: 1\r\n") : Reply(200, "ok"));
+  };
+  Peer one(io, script), other(io, script);
+  Start({EndpointJson("a", one.address()), EndpointJson("b", other.address())});
+  EXPECT_TRUE(Served(node->Ask(Post("c1", "certify", "END"), "ok")));
+  EXPECT_EQ(one.requests.size(), 1u);
+  EXPECT_EQ(other.requests.size(), 1u);
+}
+
+// Nothing takes effect twice, and a refusal would tell the client to send it again.
+TEST_F(NodeTest, AnUnsafeRequestThatMayHaveRunFailsAndIsNotSentAgain) {
+  Peer broken(io, [](Wire& wire) { wire.Reset(); });
+  Start({EndpointJson("a", broken.address()), EndpointJson("b", broken.address())});
+  const std::string answer = node->Ask(Post("c1", "certify", "END"));
+  EXPECT_TRUE(Failed(answer)) << answer;
+  EXPECT_EQ(broken.requests.size(), 1u);
+}
+
+TEST_F(NodeTest, ASilentBackendIsAnsweredForBeforeTheClientsTimeRunsOut) {
+  Peer silent(io, [](Wire&) {});
+  Start({EndpointJson("a", silent.address())});
+  const TimePoint began = node->clock.Now();
+  const auto client = node->Connect();
+  std::string request = Post("c1", "certify", "END");
+  client->Send(request.replace(request.find(": 900"), 5, ": 150"));
+  ASSERT_TRUE(RunUntil(io, [&] { return !client->in.empty(); }));
+  const double took = (node->clock.Now() - began).count();
+  EXPECT_TRUE(Failed(client->in)) << client->in;
+  EXPECT_GE(took, 140);
+  EXPECT_EQ(node->proxy.open(), 0u);
+  EXPECT_EQ(node->backends.open(), 0u) << "giving up closes the connection";
+  client->Send(Get("c2"));  // and the connection still serves
+  ASSERT_TRUE(RunUntil(io, [&] { return silent.requests.size() == 2; }));
+}
+
+// With nothing to send to, the module gives up; its answer is not held back, and says when to return.
+TEST_F(NodeTest, ARefusalIsAnsweredWhenTheModuleGivesUp) {
+  Start({});
+  std::string request = Get("c1");
+  const TimePoint began = node->clock.Now();
+  const std::string answer = node->Ask(request.replace(request.find(": 900"), 5, ": 100"));
+  EXPECT_TRUE(Refused(answer)) << answer;
+  EXPECT_NE(answer.find("Retry-After: 0.600\r\n"), std::string::npos) << answer;
+  EXPECT_GT((node->clock.Now() - began).count(), 0);
+}
+
+TEST_F(NodeTest, WhatCannotBeServedGetsAClearAnswerAndReachesNobody) {
+  Peer backend(io, [](Wire& wire) { wire.Send(Reply(200)); });
+  Start({EndpointJson("a", backend.address())}, 1024, R"([{"name":"acme","quotaPerS":100.0}])");
+  const std::string acme = "X-Account: acme\r\n";
+  const std::pair<std::string, const char*> cases[] = {
+      {"nonsense\r\n\r\n", "400"},
+      {"GET http://elsewhere/ HTTP/1.1\r\n\r\n", "400"},
+      {Post("c", "other", "END", acme), "400"},    // class
+      {Get("c"), "400"},                           // tenant
+      {Get("c", "X-Account: nobody\r\n"), "400"},  //
+      {Get("", acme), "400"},                      // id
+      {Post("c", "convert", "END", acme), "400"},  // keyed, with no key
+      {Post("c", "preview", "END", acme), "405"},  // safe to repeat, and no GET
+      {Post("c", "certify", "END", acme + "X-Time-Left-Ms: soon\r\n"), "400"},
+      {Post("c", "certify", std::string(70000, 'x'), acme), "413"},
+      {Get("c", acme + "X-Long: " + std::string(40000, 'x') + "\r\n"), "431"}};
+  for (auto [request, status] : cases) {
+    if (std::string_view(status) == "400" && request.find("soon") != std::string::npos)
+      request.erase(request.find("X-Time-Left-Ms: 900\r\n"), 21);
+    const std::string answer = node->Ask(request);
+    EXPECT_EQ(answer.rfind(std::string("HTTP/1.1 ") + status + " ", 0), 0u) << request.substr(0, 200) << "\n"
+                                                                            << answer;
+    EXPECT_EQ(Count(answer, "HTTP/1.1"), 1);
+  }
+  EXPECT_EQ(node->proxy.open(), 0u);
+  EXPECT_TRUE(backend.wires.empty());
+  EXPECT_TRUE(Served(node->Ask(Get("c", acme))));
+}
+
+TEST_F(NodeTest, ABodyOfExactlyTheLimitIsServed) {
+  Peer backend(io, [](Wire& wire) { wire.Send(Reply(200, std::string(65533, 'y') + "END")); });
+  Start({EndpointJson("a", backend.address())});
+  const std::string answer = node->Ask(Post("c", "certify", std::string(65533, 'x') + "END"), "END");
+  EXPECT_TRUE(Served(answer)) << answer.substr(0, 200);
+  EXPECT_EQ(Count(answer, "y"), 65533);
+}
+
+// The attempt runs on to its end: it tells the module how the backend does, and keeps the connection.
+TEST_F(NodeTest, AClientThatLeavesIsNotedAndItsAttemptEndsProperly) {
+  Wire* waiting = nullptr;
+  Peer backend(io, [&](Wire& wire) { waiting = &wire; });
+  Start({EndpointJson("a", backend.address())});
+  const auto client = node->Connect();
+  client->Send(Get("c1"));
+  ASSERT_TRUE(RunUntil(io, [&] { return waiting != nullptr; }));
+  EXPECT_EQ(node->proxy.open(), 1u);
+  client->Close();
+  ASSERT_TRUE(RunUntil(io, [&] { return node->proxy.open() == 0; }));
+  EXPECT_FALSE(backend.wires[0]->closed);
+  waiting->Send(Reply(200, "late"));
+  waiting = nullptr;
+  RunReady(io);
+  const auto next = node->Connect();
+  next->Send(Get("c2"));
+  ASSERT_TRUE(RunUntil(io, [&] { return waiting != nullptr; }));
+  waiting->Send(Reply(200, "mine"));
+  ASSERT_TRUE(RunUntil(io, [&] { return next->in.ends_with("mine"); }));
+  EXPECT_EQ(backend.wires.size(), 1u);
+}
+
+TEST_F(NodeTest, AnAnswerAfterTheEndIsNotPassedOn) {
+  Wire* waiting = nullptr;
+  Peer backend(io, [&](Wire& wire) { waiting = &wire; });
+  Start({EndpointJson("a", backend.address())});
+  const auto client = node->Connect();
+  std::string request = Post("c1", "certify", "END");
+  client->Send(request.replace(request.find(": 900"), 5, ": 60"));
+  ASSERT_TRUE(RunUntil(io, [&] { return !client->in.empty(); }));
+  waiting->Send(Reply(200, "late"));
+  RunReady(io);
+  EXPECT_EQ(Count(client->in, "HTTP/1.1"), 1);
+  EXPECT_EQ(client->in.find("late"), std::string::npos);
+}
+
+TEST_F(NodeTest, ReadyOnlyWhenItCanServe) {
+  Start({});
+  EXPECT_TRUE(Refused(node->Ask("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n")));
+  Peer backend(io, [](Wire&) {});
+  node->Tell(TestConfig({EndpointJson("a", backend.address())}));
+  EXPECT_TRUE(Served(node->Ask("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n")));
+}
+
+TEST_F(NodeTest, AtTheLimitTheOldestIdleClientMakesRoom) {
+  Peer backend(io, [](Wire& wire) { wire.Send(Reply(200)); });
+  Start({EndpointJson("a", backend.address())}, 64);  // room for 8 clients
+  std::vector<std::shared_ptr<Wire>> clients;
+  for (int i = 0; i < 12; ++i) {
+    clients.push_back(node->Connect());
+    clients.back()->Send(Get("c" + std::to_string(i)));
+    ASSERT_TRUE(RunUntil(io, [&] { return Served(clients.back()->in); })) << i;
+  }
+  ASSERT_TRUE(RunUntil(io, [&] { return clients[0]->closed; }));
+  EXPECT_FALSE(clients[11]->closed);
+}
+
+TEST_F(NodeTest, AtTheStopAllThatWasTakenIsAnswered) {
+  std::vector<Wire*> waiting;
+  Peer backend(io, [&](Wire& wire) { waiting.push_back(&wire); });
+  Start({EndpointJson("a", backend.address())});
+  const auto busy = node->Connect();
+  busy->Send(Get("c1"));
+  const auto idle = node->Connect();
+  ASSERT_TRUE(RunUntil(io, [&] { return waiting.size() == 1; }));
+  bool stopped = false;
+  const TimePoint began = node->clock.Now();
+  node->listener.Stop([&] { stopped = true; });
+  EXPECT_TRUE(Refused(node->Ask("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n")));
+  // The front has not noticed yet: new connections, and requests on old ones, are served.
+  const auto late = node->Connect();
+  late->Send(Get("c2"));
+  ASSERT_TRUE(RunUntil(io, [&] { return waiting.size() == 2; }));
+  idle->Send(Get("c3"));
+  ASSERT_TRUE(RunUntil(io, [&] { return waiting.size() == 3; }));
+  EXPECT_FALSE(stopped);
+  EXPECT_LT((node->clock.Now() - began).count(), 400) << "this machine was too slow for the case";
+  for (Wire* wire : waiting) wire->Send(Reply(200, "ok"));
+  for (const auto& client : {busy, late, idle}) {
+    ASSERT_TRUE(RunUntil(io, [&] { return client->closed; }));
+    EXPECT_TRUE(Served(client->in));
+    EXPECT_NE(client->in.find("Connection: close\r\n"), std::string::npos);
+    client->Close();
+  }
+  ASSERT_TRUE(RunUntil(io, [&] { return stopped; }));
+  EXPECT_GT((node->clock.Now() - began).count(), 400);
+}
+
+TEST_F(NodeTest, AtTheStopIdleConnectionsAreClosed) {
+  Start({});
+  const auto idle = node->Connect();
+  RunReady(io);
+  bool stopped = false;
+  node->listener.Stop([&] { stopped = true; });
+  ASSERT_TRUE(RunUntil(io, [&] { return stopped; }));
+  EXPECT_TRUE(RunUntil(io, [&] { return idle->closed; }));
+}
+
+}  // namespace
+}  // namespace fordlb::node::testing
