--- a/tests/node_proxy_test.cpp
+++ b/tests/node_proxy_test.cpp
@@ -114,6 +114,19 @@
   ASSERT_TRUE(RunUntil(io, [&] { return silent.requests.size() == 2; }));
 }
 
+// The last resort: no time is left for the module to act in. A failure, since only the module may refuse.
+TEST_F(NodeTest, ARequestWhoseTimeIsUpFailsOnceAndIsNotSent) {
+  Peer backend(io, [](Wire& wire) { wire.Send(Reply(200)); });
+  Start({EndpointJson("a", backend.address())});
+  const auto client = node->Connect();
+  std::string request = Get("c1");
+  client->Send(request.replace(request.find(": 900"), 5, ": 0") + Get("c2"));
+  ASSERT_TRUE(RunUntil(io, [&] { return Count(client->in, "HTTP/1.1 ") == 2; }));
+  EXPECT_EQ(client->in.rfind("HTTP/1.1 504 ", 0), 0u) << client->in;
+  ASSERT_EQ(backend.requests.size(), 1u);
+  EXPECT_NE(backend.requests[0].find("c2"), std::string::npos);
+}
+
 // With nothing to send to, the module gives up; its answer is not held back, and says when to return.
 TEST_F(NodeTest, ARefusalIsAnsweredWhenTheModuleGivesUp) {
   Start({});
