--- a/src/node/backend.cpp
+++ b/src/node/backend.cpp
@@ -219,6 +219,15 @@
   friend class Backends;
 };
 
+Backends::Limits Backends::Limits::From(const Config& config) {
+  Limits limits;
+  limits.connections = config.max_backend_connections;
+  limits.connect_timeout = config.connect_timeout;
+  limits.idle_limit = config.idle_limit;
+  limits.drain_grace = config.drain_grace;
+  return limits;
+}
+
 Backends::Backends(asio::io_context& io, const NodeClock& clock, Limits limits)
     : io_(io), clock_(clock), limits_(limits) {}
 
--- a/src/node/backend.h
+++ b/src/node/backend.h
@@ -34,6 +34,8 @@
 class Backends {
  public:
   struct Limits {
+    static Limits From(const Config& config);
+
     std::size_t connections = 480;      // in all
     std::size_t idle_per_backend = 16;  // spares; what a burst left over costs both sides
     Duration connect_timeout{250};
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -21,12 +21,7 @@
 void Run(const Config& config) {
   boost::asio::io_context io(1);
   const NodeClock clock;
-  Backends::Limits limits;
-  limits.connections = config.max_backend_connections;
-  limits.connect_timeout = config.connect_timeout;
-  limits.idle_limit = config.idle_limit;
-  limits.drain_grace = config.drain_grace;
-  Backends backends(io, clock, limits);
+  Backends backends(io, clock, Backends::Limits::From(config));
   Proxy proxy(io, clock, backends, config);
 
   ListReader reader(config);
--- a/tests/node_harness.h
+++ b/tests/node_harness.h
@@ -183,19 +183,11 @@
 struct Node {
   Node(asio::io_context& context, const Config& config)
       : io(context),
-        backends(io, clock, LimitsOf(config)),
+        backends(io, clock, Backends::Limits::From(config)),
         proxy(io, clock, backends, config),
         reader(config),
         listener((Tell(config), io), clock, proxy, config) {}
 
-  static Backends::Limits LimitsOf(const Config& config) {
-    Backends::Limits limits;
-    limits.connections = config.max_backend_connections;
-    limits.connect_timeout = config.connect_timeout;
-    limits.idle_limit = config.idle_limit;
-    limits.drain_grace = config.drain_grace;
-    return limits;
-  }
   void Tell(const Config& config) {
     if (!config.known.is_null()) proxy.UpdateList(ListKind::kCached, reader.Read(config.known));
   }
