Move to the discovery that the file names at SIGHUP

Cause: no handler for SIGHUP, so its default action ended the program (src/node/main.cpp knew SIGTERM and SIGINT only). Now the file at ROUTER_CONFIG is read again without ROUTER_DISCOVERY, which is as old as the process, and the watch starts at the new address with the whole list and fresh backoff. A bad file is one line; the old settings stay. Watch() cancelled the old stream, which a step that had just completed could carry on with; it is closed instead.

--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -171,4 +171,10 @@
   return ParseConfig(text.str(), environment);
 }
 
+Config RereadConfig(const Environment& environment) {
+  return ReadConfig([&](const char* name) {
+    return std::string_view(name) == "ROUTER_DISCOVERY" ? nullptr : environment(name);
+  });
+}
+
 }  // namespace fordlb::node
--- a/src/node/config.h
+++ b/src/node/config.h
@@ -42,6 +42,9 @@
 // Reads the file that ROUTER_CONFIG names; the other variables override what it says.
 Config ReadConfig(const Environment& environment);
 Config ParseConfig(std::string_view json, const Environment& environment);
+// The same once more at SIGHUP. Where discovery is stands in the file alone then: what the environment says
+// is as old as this process.
+Config RereadConfig(const Environment& environment);
 
 // Nested JSON as the path=value lines that ParseSettings reads.
 std::string Flatten(const boost::json::value& settings);
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -101,10 +101,18 @@
       backoff_(timing.first_backoff) {}
 
 void Discovery::Watch() {
-  if (stream_) stream_->cancel();
+  // Closed, not cancelled: what the old watch has just completed must not lead it to another step.
+  if (stream_) stream_->close();
   asio::co_spawn(io_, Run(++turn_), asio::detached);
 }
 
+void Discovery::MoveTo(asio::ip::tcp::endpoint address) {
+  address_ = std::move(address);
+  reader_.Restart();
+  backoff_ = timing_.first_backoff;
+  Watch();
+}
+
 asio::awaitable<void> Discovery::Run(std::uint64_t turn) {
   while (turn == turn_) {
     try {
@@ -132,7 +140,7 @@
   stream_ = stream;
   beast::error_code error;
   auto token = asio::redirect_error(asio::use_awaitable, error);
-  stream->expires_after(timing_.silence);
+  stream->expires_after(timing_.connect);
   co_await stream->async_connect(address_, token);
   if (error) co_return;
   stream->socket().set_option(asio::ip::tcp::no_delay(true), error);
@@ -140,6 +148,7 @@
   http::request<http::empty_body> request(
       http::verb::get, "/v1/endpoints?stream=1&index=" + std::to_string(reader_.index()), 11);
   request.set(http::field::host, "discovery");
+  stream->expires_after(timing_.silence);
   co_await http::async_write(*stream, request, token);
   if (error) co_return;
 
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -53,7 +53,8 @@
 class Discovery {
  public:
   struct Timing {
-    std::chrono::milliseconds silence{5000};  // two heartbeats missed: the watch is dead
+    std::chrono::milliseconds connect{1000};  // a lost first packet is sent again by then
+    std::chrono::milliseconds silence{3500};  // a heartbeat is long overdue: the watch is dead
     std::chrono::milliseconds first_backoff{50}, most_backoff{1000};
   };
   using OnList = std::function<void(EndpointList)>;
@@ -66,6 +67,9 @@
   // Opens the watch, in place of one that is open.
   void Watch();
 
+  // Goes on at another address, from the whole list: versions count for the discovery that gave them.
+  void MoveTo(boost::asio::ip::tcp::endpoint address);
+
  private:
   boost::asio::awaitable<void> Run(std::uint64_t turn);
   boost::asio::awaitable<void> WatchOnce(std::uint64_t turn);
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <exception>
+#include <functional>
 #include <iostream>
 
 #include "backend.h"
@@ -18,8 +19,19 @@
 namespace fordlb::node {
 namespace {
 
-void Run(const Config& config) {
+// SIGHUP: the file may name another discovery. All else of it, and all that is under way, stays; of a file
+// that is no good nothing is taken.
+void Reload(Discovery& discovery, const Environment& environment) {
+  try {
+    discovery.MoveTo(RereadConfig(environment).discovery);
+  } catch (const std::exception& error) {
+    std::cerr << "badgerbridge: the old configuration stays: " << error.what() << '\n';
+  }
+}
+
+void Run(const Config& config, const Environment& environment) {
   boost::asio::io_context io(1);
+  boost::asio::signal_set hangups(io, SIGHUP);  // first: it must not end the program at any moment
   const NodeClock clock;
   Backends backends(io, clock, Backends::Limits::From(config));
   Proxy proxy(io, clock, backends, config);
@@ -42,6 +54,15 @@
   proxy.UpdateList(ListKind::kCached, known);
   if (!config.settings.must_ask_for_list) discovery.Watch();
 
+  std::function<void()> await_hangup = [&] {
+    hangups.async_wait([&](const boost::system::error_code& error, int) {
+      if (error) return;
+      await_hangup();
+      Reload(discovery, environment);
+    });
+  };
+  await_hangup();
+
   Listener listener(io, clock, proxy, config);
   boost::asio::signal_set signals(io, SIGTERM, SIGINT);
   signals.async_wait([&](const boost::system::error_code& error, int) {
@@ -64,7 +85,8 @@
 int main() {
   std::signal(SIGPIPE, SIG_IGN);
   try {
-    fordlb::node::Run(fordlb::node::ReadConfig([](const char* name) { return std::getenv(name); }));
+    const fordlb::node::Environment environment = [](const char* name) { return std::getenv(name); };
+    fordlb::node::Run(fordlb::node::ReadConfig(environment), environment);
   } catch (const std::exception& error) {
     std::cerr << "badgerbridge: " << error.what() << '\n';
     return 1;
--- a/tests/node_process_test.cpp
+++ b/tests/node_process_test.cpp
@@ -50,6 +50,7 @@
     rmdir(folder_.c_str());
   }
   void Signal(int signal) const { kill(pid_, signal); }
+  void Rewrite(const std::string& config) const { std::ofstream(folder_ + "/config.json") << config; }
   int Wait() {  // the exit code; -1 for another end
     int status = 0;
     waitpid(std::exchange(pid_, -1), &status, 0);
@@ -121,6 +122,48 @@
   EXPECT_EQ(program.Wait(), 0);
 }
 
+// A new configuration comes under load: the request that is out, the client's connection and what is known
+// stay.
+TEST(NodeProcess, HangupMovesToTheDiscoveryOfTheFileAndLosesNothing) {
+  asio::io_context io;
+  Wire* waiting = nullptr;
+  Peer backend(io, [&](Wire& wire) { waiting = &wire; });
+  const auto watch = [](Wire& wire) { wire.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"); };
+  Peer first(io, watch), second(io, watch);
+  const std::string address = OwnAddress();
+  const std::string config = ConfigJson({EndpointJson("a", backend.address())});
+  const auto with = [&](const Peer& discovery) {
+    std::string text = config;
+    return text.replace(text.find("127.0.0.1:1\""), 12, discovery.address() + "\"");
+  };
+  setenv("ROUTER_DISCOVERY", first.address().c_str(), 1);  // as at the start, and old from then on
+  Program program(with(first), address);
+  unsetenv("ROUTER_DISCOVERY");
+  ASSERT_TRUE(RunUntil(io, [&] { return first.requests.size() == 1; })) << program.Log();
+  EXPECT_NE(first.requests[0].find("index=7 "), std::string::npos);
+  const auto client = ConnectTo(io, address);
+  client->Send(Get("c1"));
+  ASSERT_TRUE(RunUntil(io, [&] { return waiting != nullptr; }));
+
+  program.Rewrite("{\"settings\":");
+  program.Signal(SIGHUP);
+  ASSERT_TRUE(RunUntil(io, [&] { return !program.Log().empty(); }));
+  program.Rewrite(with(second));
+  for (int i = 0; i < 3; ++i) program.Signal(SIGHUP);
+  ASSERT_TRUE(RunUntil(io, [&] { return first.wires[0]->closed && !second.requests.empty(); }));
+  EXPECT_NE(second.requests[0].find("index=0 "), std::string::npos) << "the whole list";
+  waiting->Send(Reply(200, "ok"));
+  ASSERT_TRUE(RunUntil(io, [&] { return client->in.ends_with("ok"); }));
+  const std::string log = program.Log();
+  EXPECT_EQ(std::count(log.begin(), log.end(), '\n'), 1) << log;
+  EXPECT_EQ(log.rfind("badgerbridge: the old configuration stays: ", 0), 0u) << log;
+
+  program.Signal(SIGTERM);
+  program.Signal(SIGHUP);
+  client->Close();
+  EXPECT_EQ(program.Wait(), 0) << program.Log();
+}
+
 // Out of descriptors, accept fails over and over: the node must neither end nor stay deaf.
 TEST(NodeProcess, SurvivesRunningOutOfDescriptors) {
   asio::io_context io;
