Give up attempts that others overtook, and let clients' connections go after 2.2 s

An attempt whose server has answered three sent later is now abandoned where a repeat is permitted (src/logic.cpp, AbandonIfSilent; new action Abandon), and its time-out is no sign of crowding.

--- a/include/fordlb/balancer.h
+++ b/include/fordlb/balancer.h
@@ -126,6 +126,10 @@
   ServerId server = 0;
   Duration timeout{0};  // 0: until the client gives up
 };
+struct Abandon {  // stops waiting for an attempt that is out; it ends as cancelled, or as it already has
+  RequestId request = 0;
+  int attempt = 0;
+};
 struct Refuse {  // final; tells the client that another try is harmless
   RequestId request = 0;
   Duration retry_after{0};  // 0: no advice
@@ -141,7 +145,7 @@
 struct Log {
   std::string text;
 };
-using Action = std::variant<Dispatch, Refuse, Fail, SetTimer, Subscribe, Log>;
+using Action = std::variant<Dispatch, Abandon, Refuse, Fail, SetTimer, Subscribe, Log>;
 
 class Balancer {
  public:
--- a/src/drill/codec.cpp
+++ b/src/drill/codec.cpp
@@ -27,6 +27,7 @@
 };
 enum ActionCode : std::uint8_t {
   kAbort = 16,
+  kAbandon = 17,
   kStreamChanges = 18,
   kSayNo = 20,
   kInternalError = 21,
@@ -195,6 +196,11 @@
     Put(out, a.server);
     return kDispatch;
   }
+  std::uint8_t operator()(const Abandon& a) const {
+    Put(out, a.request);
+    Put(out, static_cast<std::uint8_t>(a.attempt));
+    return kAbandon;
+  }
   std::uint8_t operator()(const Refuse& a) const {
     Put(out, a.request);
     Put(out, a.retry_after.count());
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -6,6 +6,7 @@
 // pick of the one with the least hinted work of this proxy's own in flight. Whatever departs from that is
 // marked "Exception" with the condition under which it acts; docs/design.md lists them all.
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <deque>
 #include <map>
@@ -60,12 +61,14 @@
 constexpr int kMostVotes = 50;             // for the usual time of a try
 constexpr double kWarmWeight = 2;          // of a request's work, at a server that met its key lately
 constexpr Duration kKeyMemory{4000};       // how long a key sent to a server is taken to be warm there
-constexpr int kMostMisses = 8;             // held requests tried in a row without room for any
-constexpr double kMostWork = 1e6;          // ms; a larger hint is taken as this
-constexpr Duration kHousekeeping{100};     // rates are sampled this often
-constexpr Duration kLogGap{1000};          // log lines of ejections and returns no closer than this
-constexpr Duration kLongLogGap{10000};     // others
-constexpr Duration kForgetAfter{60000};    // a server gone for this long loses its state
+constexpr double kRefuseShare =
+    0.45;                          // of a client's time that it may be held: early enough to try elsewhere
+constexpr int kMostMisses = 8;     // held requests tried in a row without room for any
+constexpr double kMostWork = 1e6;  // ms; a larger hint is taken as this
+constexpr Duration kHousekeeping{100};   // rates are sampled this often
+constexpr Duration kLogGap{1000};        // log lines of ejections and returns no closer than this
+constexpr Duration kLongLogGap{10000};   // others
+constexpr Duration kForgetAfter{60000};  // a server gone for this long loses its state
 
 constexpr TimePoint kNever{Duration(1e300)};
 
@@ -187,10 +190,21 @@
   double slowness = 1;                     // time of its answers over what the fleet takes for the like
   std::map<std::uint64_t, TimePoint> met;  // keys sent to it lately
   TimePoint last_sent{}, quiet_since{}, answered_at{};
+  std::array<TimePoint, 3> newest_answered{};  // when the newest requests that it has answered were sent
   TimePoint paced_start{};  // the start for which the moment of its first request was drawn
   bool active = false;      // it is in active_
   std::uint64_t place = 0;  // on the ring
 
+  void NoteAnswered(TimePoint sent) {
+    const auto oldest = std::min_element(newest_answered.begin(), newest_answered.end());
+    *oldest = std::max(*oldest, sent);
+  }
+  // Whether it has answered so many that were sent later that this one waits for something else than its
+  // turn.
+  bool Overtaken(TimePoint sent) const {
+    return *std::min_element(newest_answered.begin(), newest_answered.end()) > sent;
+  }
+
   bool Idle() const {  // nothing is known of it that the passing of time would change
     return own_count == 0 && served_since_sample == 0 && served_rate < 1e-9 &&
            std::abs(slowness - 1) < 1e-3 && met.empty() && health.attempts() == 0 && !health.ejected &&
@@ -204,6 +218,7 @@
   bool outstanding = true;
   bool may_have_run = true;
   bool overdue = false;  // no longer counted in flight
+  bool abandoned = false;
 };
 
 struct Request {
@@ -539,11 +554,17 @@
     if (e.outcome != Outcome::kTimeout) s.quiet_since = now_;
     if (--s.own_count == 0) s.own_work = 0;
     const bool ok = e.outcome == Outcome::kOk;
-    if (e.outcome == Outcome::kCancelled || e.outcome == Outcome::kMoot || e.outcome == Outcome::kUnknown)
+    const Attempt& a = r.attempts[e.attempt];
+    if (ok || e.outcome == Outcome::kError || e.outcome == Outcome::kFull) s.NoteAnswered(a.sent_at);
+    // Its connection is silent, not the server slow: that is a failure, and no sign of crowding.
+    const bool silent = e.outcome == Outcome::kTimeout && s.Overtaken(a.sent_at);
+    const bool given_up = e.outcome == Outcome::kCancelled && a.abandoned;
+    if ((e.outcome == Outcome::kCancelled && !given_up) || e.outcome == Outcome::kMoot ||
+        e.outcome == Outcome::kUnknown)
       return;
     if (ok) s.served_since_sample += r.work, ++answered_;
     const double took = e.took.count();
-    const bool timed = ok || e.outcome == Outcome::kTimeout;
+    const bool timed = ok || (e.outcome == Outcome::kTimeout && !silent);
     if (timed && std::isfinite(took) && took >= 0) {
       Spread& seen = classes_[r.cls].latency;
       seen.Add(took / WorkScale(r));
@@ -582,9 +603,29 @@
   // a silent server kept a small proxy from sending anything for seconds.
   void NoteOverdue(Request& r) {
     for (Attempt& a : r.attempts) {
-      if (!a.outstanding || a.overdue || now_ < a.sent_at + CountedFor(r)) continue;
+      if (!a.outstanding || now_ < a.sent_at + CountedFor(r)) continue;
+      if (!a.overdue) --in_flight_;
       a.overdue = room_ = true;
-      --in_flight_;
+      AbandonIfSilent(r, a);
+    }
+  }
+
+  // Exception: an attempt whose server has answered what was sent after it, and that is out for longer than
+  // its like takes by kDeviations deviations, has gone astray with its connection: on days with silent
+  // connections a proxy waited for each to the end of the client's time. Given up where a repeat is permitted
+  // and comes in time.
+  void AbandonIfSilent(const Request& r, Attempt& a) {
+    const auto at = servers_.find(a.server);
+    const Spread& seen = classes_[r.cls].latency;
+    const Duration repeat((seen.mean + seen.deviation) * WorkScale(r));
+    if (a.abandoned || r.finished || settings_.classes[r.cls].effect == Effect::kUnsafe ||
+        static_cast<int>(r.attempts.size()) >= settings_.max_attempts || now_ + repeat > r.due)
+      return;
+    if (at != servers_.end() && at->second.Overtaken(a.sent_at) && retry_tokens_ >= 1) {
+      a.abandoned = true;
+      out_->push_back(Abandon{r.id, static_cast<int>(&a - r.attempts.data())});
+    } else {
+      wakeups_.emplace(now_ + std::max(settings_.tick, CountedFor(r) / 2), r.id);
     }
   }
 
@@ -671,6 +712,7 @@
     if (r.value <= 0) return Finish(r, StayAway(r));
     const Duration useful = aim - Duration(classes_[r.cls].latency.mean + classes_[r.cls].latency.deviation);
     r.refuse_at = std::min(r.due - settings_.tick * 2, now_ + std::max(useful, c.aim / 4));
+    r.refuse_at = std::min(r.refuse_at, now_ + (e.due - now_) * kRefuseShare);
     Request& kept = requests_.emplace(r.id, std::move(r)).first->second;
     Place(kept);
     Forget(requests_.find(e.request));
--- a/src/node/backend.cpp
+++ b/src/node/backend.cpp
@@ -23,7 +23,8 @@
 constexpr std::size_t kPiece = 4096;  // read at once
 constexpr int kMostInterim = 16;      // 1xx answers ahead of the one
 constexpr double kIdleShare = 0.75;   // of the backend's idle limit: retired before the backend may close it
-constexpr double kDrainShare = 0.5;   // of the grace: what is left of it is for bytes under way
+constexpr double kConnectShare = 0.25;  // of an attempt's time, for its connection to come up
+constexpr double kDrainShare = 0.5;     // of the grace: what is left of it is for bytes under way
 
 }  // namespace
 
@@ -54,7 +55,9 @@
   void Connect(std::shared_ptr<const Forwarded> request, TimePoint deadline, Done done) {
     Take(std::move(request), deadline, std::move(done));
     state_ = State::kConnecting;
-    SetTimer(std::min(deadline, pool_->clock_.Now() + pool_->limits_.connect_timeout));
+    // Half of the client's time must be left for another backend, or for the client to ask elsewhere.
+    const Duration left = deadline - taken_at_;
+    SetTimer(taken_at_ + std::min(pool_->limits_.connect_timeout, left * kConnectShare));
     socket_.async_connect(address_, [self = shared_from_this()](beast::error_code error) {
       if (self->state_ != State::kConnecting) return;  // given up meanwhile
       if (error) return self->End(Outcome::kConnectFailed);
@@ -89,6 +92,12 @@
     });
   }
 
+  void Cancel(std::uint64_t number) {
+    if (number != number_) return;  // it has ended, and the connection has another
+    if (state_ == State::kConnecting) return End(Outcome::kConnectFailed);
+    if (state_ == State::kWriting || state_ == State::kWaiting) GiveUp(Outcome::kCancelled);
+  }
+
   void Close() {
     if (state_ == State::kClosed) return;
     if (state_ == State::kIdle) pool_->Unpark(this);
@@ -104,6 +113,8 @@
 
   void Take(std::shared_ptr<const Forwarded> request, TimePoint deadline, Done done) {
     request_ = std::move(request);
+    number_ = ++pool_->attempts_;
+    taken_at_ = pool_->clock_.Now();
     deadline_ = deadline;
     done_ = std::move(done);
   }
@@ -250,6 +261,8 @@
         return End(Outcome::kConnectFailed);
       case State::kWriting:
       case State::kWaiting:
+        // What said nothing may be a machine that has vanished: then its idle connections are as dead.
+        if (!stalls_) pool_->CloseUntested(server_, taken_at_);
         return GiveUp(stalls_ ? Outcome::kReset : Outcome::kTimeout);
       case State::kClosing:
       case State::kClosed:
@@ -286,7 +299,8 @@
   int interim_ = 0;
   bool waiting_ = false, stalls_ = false;
   std::shared_ptr<const Forwarded> request_;
-  TimePoint deadline_{}, idle_since_{};
+  TimePoint taken_at_{}, deadline_{}, idle_since_{};
+  std::uint64_t number_ = 0;  // of the attempt
   Done done_;
   Outcome failure_ = Outcome::kUnknown;
 
@@ -352,6 +366,16 @@
   for (const auto& connection : std::exchange(backend.idle, {})) connection->Close();
 }
 
+// Those that have been idle since before that: nothing has been heard on them.
+void Backends::CloseUntested(ServerId server, TimePoint since) {
+  const auto found = backends_.find(server);
+  if (found == backends_.end()) return;
+  const auto idle = found->second.idle;  // a copy: each takes itself out
+  for (const auto& connection : idle) {
+    if (connection->idle_since() < since) connection->Close();
+  }
+}
+
 bool Backends::MaySend(ServerId server, const tcp::endpoint& address) const {
   const auto found = backends_.find(server);
   if (found == backends_.end() || found->second.address != address) return false;
@@ -383,7 +407,8 @@
   return true;
 }
 
-void Backends::Send(ServerId server, std::shared_ptr<const Forwarded> request, Duration timeout, Done done) {
+Backends::Ticket Backends::Send(ServerId server, std::shared_ptr<const Forwarded> request, Duration timeout,
+                                Done done) {
   const TimePoint deadline = clock_.Now() + timeout;
   // Through the queue of the io_context also where it ends at once: the caller is in the midst of its
   // actions.
@@ -392,16 +417,25 @@
                [done = std::move(done), result = std::move(result)]() mutable { done(std::move(result)); });
   };
   const auto found = backends_.find(server);
-  if (found == backends_.end() || !MaySend(server, found->second.address))
-    return later({Outcome::kConnectFailed, {}, {}});
-  if (const auto idle = TakeIdle(found->second)) {
-    idle->Reuse(std::move(request), deadline, std::move(later));
+  if (found == backends_.end() || !MaySend(server, found->second.address)) {
+    later({Outcome::kConnectFailed, {}, {}});
+    return {};
+  }
+  std::shared_ptr<Connection> connection = TakeIdle(found->second);
+  if (connection) {
+    connection->Reuse(std::move(request), deadline, std::move(later));
   } else if (MakeRoom()) {
-    const auto connection = std::make_shared<Connection>(*this, server, found->second.address);
+    connection = std::make_shared<Connection>(*this, server, found->second.address);
     connection->Connect(std::move(request), deadline, std::move(later));
   } else {
     later({Outcome::kConnectFailed, {}, {}});
+    return {};
   }
+  return {connection, connection->number_};
+}
+
+void Backends::Cancel(const Ticket& attempt) {
+  if (const auto connection = attempt.connection.lock()) connection->Cancel(attempt.number);
 }
 
 void Backends::Park(std::shared_ptr<Connection> connection) {
--- a/src/node/backend.h
+++ b/src/node/backend.h
@@ -52,14 +52,22 @@
   void Update(const EndpointList& list);
   bool AnyReady() const;
 
+  class Connection;
+  struct Ticket {  // an attempt
+    std::weak_ptr<Connection> connection;
+    std::uint64_t number = 0;
+  };
+
   // Makes one attempt; `done` is called exactly once, never from within this call.
-  void Send(ServerId server, std::shared_ptr<const Forwarded> request, Duration timeout, Done done);
+  Ticket Send(ServerId server, std::shared_ptr<const Forwarded> request, Duration timeout, Done done);
+
+  // Stops waiting for it; it ends as cancelled, unless it has ended already or is known not to have run.
+  void Cancel(const Ticket& attempt);
 
   std::size_t open() const { return open_; }
   std::size_t known() const { return backends_.size(); }
 
  private:
-  class Connection;
   struct Backend {
     boost::asio::ip::tcp::endpoint address;
     ServerState state = ServerState::kGone;
@@ -69,6 +77,7 @@
 
   void SetState(Backend& backend, ServerState state);
   void CloseIdle(Backend& backend);
+  void CloseUntested(ServerId server, TimePoint since);
   std::shared_ptr<Connection> TakeIdle(Backend& backend);
   bool MakeRoom();
   // For a connection: whether a request may begin on it now; and its changes of state.
@@ -81,6 +90,7 @@
   Limits limits_;
   std::unordered_map<ServerId, Backend> backends_;
   std::size_t open_ = 0;
+  std::uint64_t attempts_ = 0;
 };
 
 }  // namespace fordlb::node
--- a/src/node/client.cpp
+++ b/src/node/client.cpp
@@ -27,8 +27,10 @@
 constexpr std::size_t kPiece = 2048;             // read at once; the buffer that an idle connection keeps
 constexpr std::size_t kMostDropped = 256 << 10;  // read of a client that has had its last answer
 constexpr std::chrono::milliseconds kSlowRequest{2200};  // a client sends in one go: it will not be whole
-constexpr std::chrono::milliseconds kSlowReader{5000};   // longer than any deadline
-constexpr std::chrono::milliseconds kLinger{1000};       // for the client to read an answer and close
+constexpr std::chrono::milliseconds kKept{
+    2200};  // between requests: more than the 2 s that clients may count on
+constexpr std::chrono::milliseconds kSlowReader{5000};  // longer than any deadline
+constexpr std::chrono::milliseconds kLinger{1000};      // for the client to read an answer and close
 constexpr Duration kSettled{2000};  // without a request: nothing is on its way from this client
 constexpr Duration kStranger{250};  // connected, and no request whole: no usual client
 constexpr std::chrono::milliseconds kRoomPause{25};    // at the limit, until one of those is due
@@ -174,7 +176,11 @@
 
   // Not by Beast's own read, which keeps to itself that a head has begun until all of it is there.
   void TakeIn() {
-    if (!begun_) NoteBegin();
+    if (!begun_) {
+      NoteBegin();
+      if (asked_)
+        timed_ = false;  // the time between requests is over; the first request counts from the connect
+    }
     beast::error_code error;
     buffer_.consume(parser_->put(buffer_.data(), error));
     if (error == http::error::need_more) error = {};
@@ -332,6 +338,7 @@
     if (!kept) return Linger();
     listener_.sessions_.splice(listener_.sessions_.end(), listener_.sessions_, at_);
     Proceed();
+    if (!closed_ && !Busy() && !begun_) SetTimer(kKept);
     if (!closed_ && listener_.door_closed_) WindDown();
   }
 
--- a/src/node/proxy.cpp
+++ b/src/node/proxy.cpp
@@ -133,8 +133,15 @@
   if (moot) return OnAttemptEnd(end, now, {Outcome::kMoot, {}, {}});
   const Duration left = found->second.due - now;
   const Duration timeout = action.timeout == Duration(0) ? left : std::min(left, action.timeout);
-  backends_.Send(action.server, found->second.forwarded, timeout,
-                 [this, end, now](AttemptResult result) { OnAttemptEnd(end, now, std::move(result)); });
+  found->second.newest =
+      backends_.Send(action.server, found->second.forwarded, timeout,
+                     [this, end, now](AttemptResult result) { OnAttemptEnd(end, now, std::move(result)); });
+}
+
+void Proxy::Perform(const Abandon& action) {
+  const auto found = table_.find(action.request);
+  if (found != table_.end() && found->second.attempts == action.attempt + 1)
+    backends_.Cancel(found->second.newest);
 }
 
 void Proxy::OnAttemptEnd(AttemptEnded end, TimePoint sent, AttemptResult result) {
--- a/src/node/proxy.h
+++ b/src/node/proxy.h
@@ -54,6 +54,7 @@
     TimePoint due{};          // of its attempts
     TimePoint last_resort{};  // then this node answers, whatever the module does
     int attempts = 0;
+    Backends::Ticket newest;  // of the last of them
   };
 
   void Post(Event event);
@@ -61,6 +62,7 @@
   void Handle(TimePoint now, const Event& event);
   void FireDue(TimePoint now);
   void Perform(const Dispatch& action);
+  void Perform(const Abandon& action);
   void Perform(const Refuse& action);
   void Perform(const Fail& action);
   void Perform(const SetTimer& action);
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -612,6 +612,46 @@
   }
 }
 
+// A connection that has fallen silent: the server goes on answering what was sent after this one.
+TEST(Attempts, OneThatOthersOvertookIsAbandonedWhereARepeatIsPermitted) {
+  for (int cls : {0, 1, 2}) {
+    Rig rig;
+    rig.Servers(2);
+    for (int i = 0; i < 40; ++i) {
+      const RequestId id = next_id++;
+      rig.End(id, 0, *rig.Ask(id, cls), Outcome::kOk);
+    }
+    const RequestId stuck = next_id++;
+    const ServerId server = *rig.Ask(stuck, cls, 10, 1000);
+    int abandoned = 0;
+    const auto note = [&] {
+      for (const Action& action : rig.actions) {
+        const auto* abandon = std::get_if<Abandon>(&action);
+        if (!abandon) continue;
+        EXPECT_EQ(abandon->request, stuck);
+        EXPECT_EQ(abandon->attempt, 0);
+        ++abandoned;
+      }
+    };
+    for (int i = 0; i < 10; ++i, note()) rig.Tick(20);
+    EXPECT_EQ(abandoned, 0) << "it may be waiting for its turn";
+    // Each pair is more work than the stuck one: one of the two goes to its server.
+    for (int n = 0; n < 3; ++n) {
+      const RequestId id = next_id++, other = next_id++;
+      const ServerId at = *rig.Ask(id, cls, 40), elsewhere = *rig.Ask(other, cls, 40);
+      ASSERT_TRUE((at == server) != (elsewhere == server));
+      rig.End(id, 0, at, Outcome::kOk);
+      rig.End(other, 0, elsewhere, Outcome::kOk);
+      note();
+    }
+    for (int i = 0; i < 10; ++i, note()) rig.Tick(20);
+    EXPECT_EQ(abandoned, cls == 2 ? 0 : 1);
+    if (abandoned == 0) continue;
+    rig.End(stuck, 0, server, Outcome::kCancelled, 400);
+    EXPECT_TRUE(rig.SentTo(stuck).has_value());
+  }
+}
+
 TEST(Attempts, MaxAttempts) {
   Settings s = Usual();
   s.max_attempts = 2;
@@ -731,6 +771,16 @@
   EXPECT_LE(waited, 205) << "within the aim, not at the deadline";
 }
 
+// One that is refused after more than half of its time can do nothing with it.
+TEST(Admission, WhatIsHeldIsRefusedInTheFirstHalfOfItsTime) {
+  Rig rig;
+  rig.List({});
+  rig.Ask(1, 0, 10, 100);
+  EXPECT_EQ(rig.Count<Refuse>(), 0);
+  rig.Tick(50);
+  EXPECT_EQ(rig.Count<Refuse>(), 1);
+}
+
 TEST(Admission, TheMostWorthGoesFirst) {
   Settings s = Usual();
   s.classes[2].worth = 1;
--- a/tests/node_backend_test.cpp
+++ b/tests/node_backend_test.cpp
@@ -103,6 +103,14 @@
   backends->Update(ListOf(full.local_endpoint()));
   RunReady(io);
   EXPECT_EQ(Outcome1(), Outcome::kConnectFailed);
+
+  // Nor a quarter of the attempt's own time: the rest is for another backend.
+  limits.connect_timeout = Duration(60000);
+  backends = std::make_unique<Backends>(io, clock, limits);
+  backends->Update(ListOf(full.local_endpoint()));
+  const TimePoint began = clock.Now();
+  EXPECT_EQ(Outcome1(Duration(2000)), Outcome::kConnectFailed);
+  EXPECT_LT((clock.Now() - began).count(), 1500);
 }
 
 TEST_F(BackendTest, BrokenAfterTheRequestIsAReset) {
@@ -282,6 +290,49 @@
   EXPECT_TRUE(RunUntil(io, [&] { return peer.wires[0]->closed; }));
 }
 
+// A machine that vanishes leaves its connections open: after a time-out, those that were idle all along go.
+TEST_F(BackendTest, AfterATimeOutTheIdleConnectionsAreNotTrusted) {
+  std::vector<Wire*> waiting;
+  Peer peer(io, [&](Wire& wire) { waiting.push_back(&wire); });
+  Use(peer);
+  Send();
+  Send();
+  ASSERT_TRUE(RunUntil(io, [&] { return waiting.size() == 2; }));
+  for (Wire* wire : waiting) wire->Send(Reply(200));
+  ASSERT_TRUE(RunUntil(io, [&] { return results.size() == 2; }));
+  EXPECT_EQ(backends->open(), 2u);
+  EXPECT_EQ(Outcome1(Duration(30)), Outcome::kTimeout);
+  EXPECT_EQ(backends->open(), 0u);
+}
+
+TEST_F(BackendTest, ACancelledAttemptEndsOnceAndNoOtherDoes) {
+  std::vector<Wire*> waiting;
+  Peer peer(io, [&](Wire& wire) { waiting.push_back(&wire); });
+  Use(peer);
+  auto request = std::make_shared<Forwarded>();
+  request->target = "/preview";
+  const auto send = [&] {
+    return backends->Send(kServer, request, Duration(10000),
+                          [this](AttemptResult result) { results.push_back(result); });
+  };
+  const Backends::Ticket first = send();
+  ASSERT_TRUE(RunUntil(io, [&] { return waiting.size() == 1; }));
+  waiting[0]->Send(Reply(200));
+  ASSERT_TRUE(RunUntil(io, [&] { return results.size() == 1; }));
+  const Backends::Ticket second = send();  // on the same connection
+  ASSERT_TRUE(RunUntil(io, [&] { return waiting.size() == 2; }));
+  backends->Cancel(first);
+  RunReady(io);
+  EXPECT_EQ(results.size(), 1u);
+  backends->Cancel(second);
+  backends->Cancel(second);
+  ASSERT_TRUE(RunUntil(io, [&] { return results.size() == 2; }));
+  RunReady(io);
+  EXPECT_EQ(results[1].outcome, Outcome::kCancelled);
+  EXPECT_EQ(results.size(), 2u);
+  EXPECT_EQ(backends->open(), 0u) << "giving up closes the connection";
+}
+
 TEST_F(BackendTest, NewestIdleConnectionComesFirst) {
   std::vector<Wire*> waiting;
   Peer peer(io, [&](Wire& wire) { waiting.push_back(&wire); });
