Make the etcd stand-in do, or refuse, each field of the API that it parses

An independent client's election waited for ever, since a Range's sort order was ignored, and clients that ask for Maintenance.Status or Cluster.MemberList at their start got nothing. A field silently ignored proves nothing.

Range now sorts by each target both ways and honours the bounds on revisions; a put leaves value or lease as they are where told to; transactions nest, read their own writes, compare ranges and are checked in both branches; watches have filters, own ids and refuse a duplicate; leases tell what is left; Status and MemberList answer. What has a field that the stand-in does not know is refused with INVALID_ARGUMENT, at any depth (protobuf's lite messages don't tell, so the wire is looked at). A fragmented watch of a member that lags always gets its last piece.

--- a/tests/standins/etcd.cpp
+++ b/tests/standins/etcd.cpp
@@ -3,11 +3,14 @@
 
 #include <nghttp2/nghttp2.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
 #include <cstring>
 #include <optional>
 
+#include "standins/etcd_fields.h"
+
 namespace badgerbridge::standins {
 namespace {
 
@@ -45,7 +48,7 @@
   struct Watch {
     std::int64_t id = 0, next = 0;
     std::string key, end;
-    bool progress = false, prev_kv = false, fragment = false;
+    bool progress = false, prev_kv = false, fragment = false, no_puts = false, no_deletes = false;
     std::chrono::steady_clock::time_point told = Clock::now();
   };
   explicit Stream(std::int32_t i) : id(i), unframer(4 << 20) {}
@@ -455,6 +458,12 @@
       stream.finished = true;
       return;
   }
+  const Fields* fields = FieldsOf(path);
+  for (const std::string& message : stream.messages) {
+    if (fields && !OnlyKnown(message, *fields))
+      return connection.Finish(stream, {Code::kInvalidArgument, Ending::kStatus,
+                                        "stand-in: a field of " + path + " that it does not know"});
+  }
   const auto parse = [&](auto* request) {
     if (stream.messages.size() == 1 && request->ParseFromString(stream.messages[0])) return true;
     ++protocol_errors_;
@@ -538,6 +547,44 @@
     pb::LeaseRevokeResponse response;
     answer(store_->Revoke(request.id()), &response);
     Publish();
+  } else if (path == "/etcdserverpb.Lease/LeaseTimeToLive") {
+    pb::LeaseTimeToLiveRequest request;
+    if (!parse(&request)) return;
+    pb::LeaseTimeToLiveResponse response;
+    store_->TimeToLive(Now(), request, &response);
+    answer({}, &response);
+  } else if (path == "/etcdserverpb.Lease/LeaseLeases") {
+    pb::LeaseLeasesRequest request;
+    if (!parse(&request)) return;
+    pb::LeaseLeasesResponse response;
+    store_->Leases(&response);
+    answer({}, &response);
+  } else if (path == "/etcdserverpb.Maintenance/Status") {
+    pb::StatusRequest request;
+    if (!parse(&request)) return;
+    pb::StatusResponse response;
+    response.set_version("3.5.0");
+    response.set_leader(1);
+    response.set_raftterm(2);
+    const auto revision =
+        static_cast<std::uint64_t>(connection.member.lag ? connection.member.applied : store_->revision());
+    response.set_raftindex(revision);
+    response.set_raftappliedindex(revision);
+    response.set_dbsize(1 << 20);
+    response.set_dbsizeinuse(1 << 20);
+    answer({}, &response);
+  } else if (path == "/etcdserverpb.Cluster/MemberList") {
+    pb::MemberListRequest request;
+    if (!parse(&request)) return;
+    pb::MemberListResponse response;
+    for (const auto& one : members_) {
+      pb::Member* member = response.add_members();
+      member->set_id(one->number + 1);
+      member->set_name("m" + std::to_string(one->number));
+      member->add_clienturls("http://" + one->address.address().to_string() + ":" +
+                             std::to_string(one->address.port()));
+    }
+    answer({}, &response);
   } else if (path == "/etcdserverpb.Lease/LeaseKeepAlive") {
     for (const std::string& message : std::exchange(stream.messages, {})) {
       pb::LeaseKeepAliveRequest request;
@@ -568,8 +615,25 @@
   if (request.has_create_request()) {
     const pb::WatchCreateRequest& create = request.create_request();
     Stream::Watch watch;
+    const auto taken = [&](std::int64_t id) {
+      return std::any_of(stream.watches.begin(), stream.watches.end(),
+                         [&](const Stream::Watch& other) { return other.id == id; });
+    };
+    if (create.watch_id() != 0 && taken(create.watch_id())) {
+      response.set_watch_id(-1);
+      response.set_created(true);
+      response.set_canceled(true);
+      response.set_cancel_reason("mvcc: duplicate watch ID provided on the WatchStream");
+      connection.Say(stream, response.SerializeAsString());
+      return;
+    }
+    while (create.watch_id() == 0 && taken(stream.next_watch)) ++stream.next_watch;
     watch.id = create.watch_id() != 0 ? create.watch_id() : stream.next_watch++;
-    watch.key = create.key();
+    for (const int filter : create.filters()) {
+      watch.no_puts |= filter == pb::WatchCreateRequest::NOPUT;
+      watch.no_deletes |= filter == pb::WatchCreateRequest::NODELETE;
+    }
+    watch.key = create.key().empty() ? std::string(1, '\0') : create.key();
     watch.end = create.range_end();
     watch.next = create.start_revision() > 0 ? create.start_revision() : response.header().revision() + 1;
     watch.progress = create.progress_notify();
@@ -620,8 +684,11 @@
         }
         for (Stream::Watch& watch : stream->watches) {
           if (watch.next > until) continue;
-          const std::vector<pb::Event> events =
-              store_->Events(watch.key, watch.end, watch.next, watch.prev_kv);
+          std::vector<pb::Event> events = store_->Events(watch.key, watch.end, watch.next, watch.prev_kv);
+          std::erase_if(events, [&](const pb::Event& event) {
+            return event.kv().mod_revision() > until ||
+                   (event.type() == pb::Event::PUT ? watch.no_puts : watch.no_deletes);
+          });
           watch.next = until + 1;
           pb::WatchResponse response;
           const auto say = [&](bool more) {
@@ -633,7 +700,6 @@
           };
           std::size_t size = 0, left = events.size();
           for (const pb::Event& event : events) {
-            if (event.kv().mod_revision() > until) break;
             *response.add_events() = event;
             size += event.ByteSizeLong();
             --left;
--- a/tests/standins/etcd_store.h
+++ b/tests/standins/etcd_store.h
@@ -41,6 +41,10 @@
   etcd::Status Revoke(std::int64_t id);
   // The TTL in seconds; 0: there is no such lease.
   std::int64_t KeepAlive(Millis now, std::int64_t id);
+  // What is left of a lease, and its keys if wanted; a TTL of -1: there is no such lease.
+  void TimeToLive(Millis now, const pb::LeaseTimeToLiveRequest& request,
+                  pb::LeaseTimeToLiveResponse* response) const;
+  void Leases(pb::LeaseLeasesResponse* response) const;
   // Deletes the keys of leases that have run out, one revision a lease; true if any did.
   bool Expire(Millis now);
 
@@ -63,6 +67,13 @@
   };
 
   const Version* At(const std::string& key, std::int64_t revision) const;
+  etcd::Status CheckRange(const pb::RangeRequest& request) const;
+  void Read(const pb::RangeRequest& request, std::int64_t at, pb::RangeResponse* response) const;
+  bool Holds(const pb::Compare& compare, std::int64_t at) const;
+  etcd::Status CheckTxn(const pb::TxnRequest& request) const;
+  // Whether what the branch that will be taken needs is there, such as a put's lease.
+  etcd::Status CheckOps(const pb::TxnRequest& request) const;
+  void RunTxn(const pb::TxnRequest& request, std::int64_t next, pb::TxnResponse* response);
   void WritePut(const pb::PutRequest& request, std::int64_t revision);
   std::int64_t WriteDelete(std::string_view key, std::string_view end, std::int64_t revision,
                            pb::DeleteRangeResponse* response, bool prev_kv);
