--- a/src/etcd/channel.cpp
+++ b/src/etcd/channel.cpp
@@ -32,7 +32,7 @@
       http2_(options_.server_name.empty()
                  ? address.address().to_string() + ":" + std::to_string(address.port())
                  : options_.server_name,
-             options_.limits) {
+             options_.limits, options_.tls.has_value()) {
   if (!options_.tls) return;
   context_.emplace(api::TlsContext(*options_.tls, false));
   tls_.emplace(io, *context_);
--- a/src/etcd/http2.cpp
+++ b/src/etcd/http2.cpp
@@ -132,8 +132,8 @@
   }
 };
 
-Http2Client::Http2Client(std::string authority, Http2Limits limits)
-    : authority_(std::move(authority)), limits_(limits) {
+Http2Client::Http2Client(std::string authority, Http2Limits limits, bool tls)
+    : authority_(std::move(authority)), scheme_(tls ? "https" : "http"), limits_(limits) {
   nghttp2_session_callbacks* callbacks = nullptr;
   if (nghttp2_session_callbacks_new(&callbacks) != 0) throw std::bad_alloc();
   nghttp2_session_callbacks_set_on_header_callback(callbacks, Callbacks::OnHeader);
@@ -164,8 +164,8 @@
   call->out = Frame(message);
   call->last = call->unary = last;
   const std::vector<std::pair<std::string, std::string>> fixed = {
-      {":method", "POST"},           {":scheme", "http"}, {":path", path},
-      {":authority", authority_},    {"te", "trailers"},  {"content-type", "application/grpc"},
+      {":method", "POST"},           {":scheme", scheme_}, {":path", path},
+      {":authority", authority_},    {"te", "trailers"},   {"content-type", "application/grpc"},
       {"user-agent", "badgerbridge"}};
   std::vector<nghttp2_nv> headers;
   for (const auto& [name, value] : fixed) headers.push_back(Pair(name, value));
--- a/src/etcd/http2.h
+++ b/src/etcd/http2.h
@@ -36,7 +36,8 @@
 
 class Http2Client {
  public:
-  explicit Http2Client(std::string authority, Http2Limits limits = {});
+  // `tls`: what carries the bytes is encrypted, which the requests' :scheme says.
+  explicit Http2Client(std::string authority, Http2Limits limits = {}, bool tls = false);
   ~Http2Client();  // ends every open call as lost
   Http2Client(const Http2Client&) = delete;
   Http2Client& operator=(const Http2Client&) = delete;
@@ -70,7 +71,7 @@
   void End(CallId id, Status status);
 
   nghttp2_session* session_ = nullptr;
-  std::string authority_;
+  std::string authority_, scheme_;
   Http2Limits limits_;
   std::map<CallId, std::unique_ptr<Call>> calls_;
   std::size_t unsent_ = 0;
--- a/src/membership/feed.cpp
+++ b/src/membership/feed.cpp
@@ -1,63 +1,10 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "membership/feed.h"
 
-#include <boost/json.hpp>
-
 namespace badgerbridge::membership {
-namespace {
 
-namespace json = boost::json;
 namespace pb = etcdserverpb;
 
-// The end of the range of all keys with a prefix: its last byte that can be, one more.
-std::string EndOf(std::string prefix) {
-  while (!prefix.empty() && static_cast<unsigned char>(prefix.back()) == 0xff) prefix.pop_back();
-  if (prefix.empty()) return std::string(1, '\0');
-  prefix.back() = static_cast<char>(static_cast<unsigned char>(prefix.back()) + 1);
-  return prefix;
-}
-
-std::string TextAt(const json::object& object, const char* key) {
-  const json::value* value = object.if_contains(key);
-  return value && value->is_string() ? std::string(value->get_string()) : std::string();
-}
-
-}  // namespace
-
-std::optional<std::string> ReadMember(std::string_view name, std::string_view value, Member* member) {
-  boost::system::error_code error;
-  const json::value parsed = json::parse(json::string_view(value.data(), value.size()), error);
-  const json::object* object = error ? nullptr : parsed.if_object();
-  if (!object) return "the value is no JSON object";
-  const std::string named = TextAt(*object, "name");
-  if (named != name) return "the value names \"" + named.substr(0, 64) + "\", and not what its key does";
-  const std::string status = TextAt(*object, "status");
-  Member read;
-  read.name = named;
-  read.address = TextAt(*object, "address");
-  read.zone = TextAt(*object, "zone");
-  read.kind = TextAt(*object, "type");
-  if (status == "Ready") {
-    read.state = State::kReady;
-  } else if (status == "Terminating") {
-    read.state = State::kDraining;
-  } else {
-    return "its status is neither Ready nor Terminating";
-  }
-  if (read.address.empty()) return "it has no address";
-  for (const char* key : {"group", "weight", "since_ms"}) {
-    const json::value* number = object->if_contains(key);
-    if (!number) continue;
-    const double x = number->is_number() ? number->to_number<double>() : -1;
-    if (!(x >= 0 && x < 1e15)) return std::string(key) + " is no number of at least 0";
-    if (key[0] == 'g') read.group = static_cast<int>(std::min(x, 2e9));
-    if (key[0] == 'w') read.weight = x;
-    if (key[0] == 's') read.since_ms = x;
-  }
-  *member = std::move(read);
-  return std::nullopt;
-}
-
 Feed::Feed(FeedSettings settings, std::uint64_t seed)
     : settings_(std::move(settings)), random_(seed), backoff_(settings_.first_backoff) {
   endpoint_ = random_() % settings_.endpoints;  // proxies spread over the members
@@ -145,7 +92,7 @@
   listing_at_ = 0;
   Range range;
   range.request.set_key(settings_.prefix);
-  range.request.set_range_end(EndOf(settings_.prefix));
+  range.request.set_range_end(EndOfPrefix(settings_.prefix));
   range.request.set_limit(settings_.page);
   actions->push_back(std::move(range));
 }
@@ -190,7 +137,7 @@
     wake_ = now + settings_.call_timeout;
     Range range;
     range.request.set_key(response.kvs(response.kvs_size() - 1).key() + std::string(1, '\0'));
-    range.request.set_range_end(EndOf(settings_.prefix));
+    range.request.set_range_end(EndOfPrefix(settings_.prefix));
     range.request.set_limit(settings_.page);
     range.request.set_revision(listing_at_);
     actions->push_back(std::move(range));
@@ -217,7 +164,7 @@
   Watch watch;
   auto* create = watch.request.mutable_create_request();
   create->set_key(settings_.prefix);
-  create->set_range_end(EndOf(settings_.prefix));
+  create->set_range_end(EndOfPrefix(settings_.prefix));
   create->set_start_revision(revision_ + 1);
   create->set_progress_notify(true);
   create->set_fragment(true);
--- a/src/membership/feed.h
+++ b/src/membership/feed.h
@@ -23,13 +23,10 @@
 #include "etcd.pb.h"
 #include "etcd/grpc.h"
 #include "membership/ledger.h"
+#include "membership/value.h"
 
 namespace badgerbridge::membership {
 
-// A value in discovery's endpoint form under its key. The reason if it can't be read, or names another than
-// its key.
-std::optional<std::string> ReadMember(std::string_view name, std::string_view value, Member* member);
-
 struct FeedSettings {
   std::string prefix = "/badgerbridge/converters/";
   std::size_t endpoints = 1;
