--- a/src/node/main.cpp
+++ b/src/app/main.cpp
@@ -13,17 +13,17 @@
 #include <string>
 #include <string_view>
 
-#include "backend.h"
-#include "client.h"
-#include "clock.h"
-#include "config.h"
 #include "control/control.h"
-#include "discovery.h"
+#include "node/backend.h"
+#include "node/client.h"
+#include "node/clock.h"
+#include "node/config.h"
+#include "node/discovery.h"
 #ifdef BADGERBRIDGE_HAS_ETCD
-#include "membership_source.h"
+#include "app/membership_source.h"
 #endif
+#include "node/proxy.h"
 #include "operator/operator_file.h"
-#include "proxy.h"
 
 namespace fordlb::node {
 namespace {
@@ -101,12 +101,18 @@
   std::optional<control::Control> controls;
   if (operators.control) {
     std::function<boost::json::value()> members;
+    std::function<std::size_t()> release;
+    const ListReader* list = &discovery.reader();
 #ifdef BADGERBRIDGE_HAS_ETCD
-    if (membership) members = [&membership] { return membership->Describe(); };
+    if (membership) {
+      members = [&membership] { return membership->Describe(); };
+      release = [&membership] { return membership->Release(); };
+      list = &membership->list();
+    }
 #endif
-    controls.emplace(io, *operators.control,
-                     control::Control::Subject{config, clock, proxy, listener, discovery.reader(), reloads,
-                                               stop, members});
+    controls.emplace(
+        io, *operators.control,
+        control::Control::Subject{config, clock, proxy, listener, *list, reloads, stop, members, release});
   }
 
   while (!io.stopped()) {
--- a/src/node/membership_source.cpp
+++ b/src/app/membership_source.cpp
@@ -1,9 +1,12 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "membership_source.h"
+#include "app/membership_source.h"
 
 #include <boost/json.hpp>
-#include <fstream>
 #include <iostream>
+#include <utility>
+
+#include "api/address.h"
+#include "membership/etcd_settings.h"
 
 namespace fordlb::node {
 namespace {
@@ -14,6 +17,9 @@
 using membership::Member;
 using membership::Time;
 
+constexpr int kRestFor = 9;  // of the time that a list took: a tenth of the loop at most
+constexpr std::chrono::milliseconds kMostRest{50};  // what a drain may wait for it
+
 membership::Settings LedgerSettings(const badgerbridge::operator_file::Etcd& etcd) {
   membership::Settings settings;
   settings.sources = {{"etcd", etcd.authority, Time(5000), Time(60000)},
@@ -22,23 +28,6 @@
   return settings;
 }
 
-membership::EtcdSourceSettings SourceSettings(const badgerbridge::operator_file::Etcd& etcd) {
-  membership::EtcdSourceSettings settings;
-  for (const std::string& endpoint : etcd.endpoints) settings.endpoints.push_back(*ParseAddress(endpoint));
-  settings.feed.prefix = etcd.prefix;
-  settings.channel.ping_every = etcd.ping_every;
-  settings.channel.ping_timeout = etcd.ping_timeout;
-  settings.channel.server_name = etcd.server_name;
-  if (!etcd.certificate.empty())
-    settings.channel.tls = badgerbridge::api::TlsFiles{etcd.certificate, etcd.key, etcd.client_authority};
-  if (etcd.user.empty()) return settings;
-  settings.user = etcd.user;
-  std::ifstream file(etcd.password_file);
-  if (!std::getline(file, settings.password))
-    throw BadConfig("cannot read a password from " + etcd.password_file);
-  return settings;
-}
-
 std::string NameAt(const std::vector<std::string>& names, int index) {
   return index >= 0 && static_cast<std::size_t>(index) < names.size() ? names[static_cast<std::size_t>(index)]
                                                                       : std::string();
@@ -51,11 +40,12 @@
     : zones_(config.zones),
       kinds_(config.kinds),
       on_change_(std::move(on_change)),
-      writer_(config),
+      names_(config),
       ledger_(LedgerSettings(settings)),
-      timer_(io) {
+      timer_(io),
+      flush_(io) {
   source_.emplace(
-      io, SourceSettings(settings), config.seed,
+      io, membership::SourceSettingsOf(settings), config.seed,
       [this](Time, const membership::Report& report) { Take(report); },
       [this](Time now) {
         ledger_.Heard(now, etcd_);
@@ -69,9 +59,13 @@
 }
 
 void MembershipSource::Known(const EndpointList& list) {
+  std::vector<Listed> listed;
   for (const Endpoint& endpoint : list.endpoints) {
-    if (endpoint.entry.state != ServerState::kGone) known_.push_back(endpoint.name);
+    if (endpoint.entry.state == ServerState::kGone) continue;
+    known_.push_back(endpoint.name);
+    listed.push_back({endpoint.name, "", "", endpoint.address});
   }
+  names_.Take(true, 0, listed);
 }
 
 void MembershipSource::Discovered(const EndpointList& list) {
@@ -82,9 +76,7 @@
   for (const Endpoint& endpoint : list.endpoints) {
     Member member;
     member.name = endpoint.name;
-    member.address = endpoint.address.address().to_string();
-    if (endpoint.address.address().is_v6()) member.address = "[" + member.address + "]";
-    member.address += ":" + std::to_string(endpoint.address.port());
+    member.address = badgerbridge::api::ToText(endpoint.address);
     member.zone = NameAt(zones_, endpoint.entry.zone);
     member.kind = NameAt(kinds_, endpoint.entry.kind);
     member.group = endpoint.entry.cell;
@@ -126,31 +118,46 @@
   if (ledger_.held() > 0 && !held_said_)
     std::cerr << "etcd: " << ledger_.held()
               << " converters left at once; they are HELD in the list until they come "
-              << "back, discovery confirms it, or most_departures_percent allows it\n";
+              << "back, discovery confirms it, or a person lets them go (badgerctl members release)\n";
   held_said_ = ledger_.held() > 0;
 }
 
+// At once, unless lists have just had their share of the loop: a burst of a thousand revisions becomes a few
+// lists, each of which holds whole revisions.
 void MembershipSource::Publish(const std::vector<Member>& changes) {
-  if (changes.empty()) return;
-  json::array endpoints;
-  for (const Member& member : changes) {
-    if (member.state != membership::State::kGone && !ParseAddress(member.address)) {
+  for (const Member& member : changes) pending_[member.name] = member;
+  const auto now = Clock::now();
+  if (now >= next_publish_) return Flush();
+  if (std::exchange(flush_armed_, true)) return;
+  flush_.expires_at(next_publish_);
+  flush_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) Flush();
+  });
+}
+
+void MembershipSource::Flush() {
+  flush_armed_ = false;
+  const auto began = Clock::now();
+  const std::uint64_t version = ledger_.version(ledger_.is_authority(etcd_) ? etcd_ : discovery_);
+  if (pending_.empty()) return names_.NoChangeUpTo(version);
+  std::vector<Listed> listed;
+  for (const auto& [name, member] : std::exchange(pending_, {})) {
+    Listed one{member.name, member.zone, member.kind, ParseAddress(member.address)};
+    one.state = member.state == membership::State::kReady      ? ServerState::kReady
+                : member.state == membership::State::kDraining ? ServerState::kDraining
+                                                               : ServerState::kGone;
+    if (!one.address && one.state != ServerState::kGone) {
       std::cerr << "etcd: " << member.name << " has no address that can be used: " << member.address << '\n';
       continue;
     }
-    endpoints.push_back(json::object{{"name", member.name},
-                                     {"address", member.address},
-                                     {"zone", member.zone},
-                                     {"type", member.kind},
-                                     {"group", member.group},
-                                     {"status", member.state == membership::State::kReady      ? "Ready"
-                                                : member.state == membership::State::kDraining ? "Terminating"
-                                                                                               : "Gone"},
-                                     {"weight", member.weight},
-                                     {"since_ms", member.since_ms}});
+    one.group = member.group;
+    one.weight = member.weight;
+    one.since_ms = member.since_ms;
+    listed.push_back(std::move(one));
   }
-  on_change_(
-      writer_.Read(json::object{{"index", 1}, {"snapshot", false}, {"endpoints", std::move(endpoints)}}));
+  on_change_(names_.Take(false, version, listed));
+  const auto end = Clock::now();
+  next_publish_ = end + std::min<Clock::duration>((end - began) * kRestFor, kMostRest);
 }
 
 // What time alone changes.
@@ -167,6 +174,16 @@
   });
 }
 
+std::size_t MembershipSource::Release() {
+  const std::size_t held = ledger_.held();
+  std::vector<Member> changes;
+  ledger_.Release(EtcdSource::Now(), &changes);
+  if (held > 0) std::cerr << "etcd: " << held << " converters that were held are let go, as a person said\n";
+  held_said_ = false;
+  Publish(changes);
+  return held;
+}
+
 json::value MembershipSource::Describe() const {
   const Time now = EtcdSource::Now();
   json::array members, sources;
--- a/src/node/membership_source.h
+++ b/src/app/membership_source.h
@@ -9,13 +9,14 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json/value.hpp>
 #include <functional>
+#include <map>
 #include <optional>
 #include <vector>
 
-#include "config.h"
-#include "discovery.h"
 #include "membership/etcd_source.h"
 #include "membership/ledger.h"
+#include "node/config.h"
+#include "node/discovery.h"
 #include "operator/operator_file.h"
 
 namespace fordlb::node {
@@ -32,24 +33,35 @@
   void Known(const EndpointList& list);
   void Discovered(const EndpointList& list);
 
+  // The list as it is believed: what the proxy works with.
+  const ListReader& list() const { return names_; }
+
+  // What is held back has really left: lets it go; how many there were.
+  std::size_t Release();
+
   // The ledger for people: each member with whose word decided, each source with its freshness.
   boost::json::value Describe() const;
 
  private:
   void Take(badgerbridge::membership::Report report);
   void Publish(const std::vector<badgerbridge::membership::Member>& changes);
+  void Flush();
   void Arm();
 
   std::vector<std::string> zones_, kinds_;
   OnChange on_change_;
-  ListReader writer_;  // gives the changes the ids that discovery's reader gives
+  ListReader names_;  // of all that is believed, with the ids that discovery's reader gives
   badgerbridge::membership::Ledger ledger_;
   std::size_t etcd_ = 0, discovery_ = 1;
   std::vector<std::string> known_;  // of the configuration, and not spoken of by the authority yet
   bool authority_spoke_ = false;
   std::uint64_t told_ = 0;  // discovery's lists, numbered here
   bool held_said_ = false;
-  boost::asio::steady_timer timer_;
+  using Clock = std::chrono::steady_clock;
+  std::map<std::string, badgerbridge::membership::Member> pending_;  // the newest of each, not told yet
+  Clock::time_point next_publish_{};
+  bool flush_armed_ = false;
+  boost::asio::steady_timer timer_, flush_;
   std::optional<badgerbridge::membership::EtcdSource> source_;
 };
 
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -12,11 +12,11 @@
 #include <string>
 
 #include "api/server.h"
-#include "client.h"
-#include "config.h"
-#include "discovery.h"
+#include "node/client.h"
+#include "node/config.h"
+#include "node/discovery.h"
+#include "node/proxy.h"
 #include "operator/operator_file.h"
-#include "proxy.h"
 
 namespace badgerbridge::control {
 
@@ -39,6 +39,7 @@
     const Reloads& reloads;
     std::function<void()> stop;
     std::function<boost::json::value()> members = nullptr;  // the ledger, where there is one
+    std::function<std::size_t()> release = nullptr;         // lets go what it holds; how many that were
   };
 
   // Throws std::runtime_error if it can't listen.
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -11,6 +11,7 @@
 #include <set>
 #include <thread>
 
+#include "ctl/fields.h"
 #include "ctl/render.h"
 #include "operator/table_reader.h"
 
@@ -25,31 +26,6 @@
 constexpr milliseconds kTryAgain{200};
 constexpr milliseconds kLongPoll{1000};
 
-std::string Text(const json::object& object, std::string_view key) {
-  const json::value* value = object.if_contains(key);
-  return value && value->is_string() ? std::string(value->get_string()) : std::string();
-}
-std::int64_t Whole(const json::object& object, std::string_view key) {
-  const json::value* value = object.if_contains(key);
-  boost::system::error_code error;
-  const auto number = value ? value->to_number<std::int64_t>(error) : 0;
-  return error ? 0 : number;
-}
-bool Flag(const json::object& object, std::string_view key) {
-  const json::value* value = object.if_contains(key);
-  return value && value->is_bool() && value->get_bool();
-}
-const json::object& Object(const json::object& object, std::string_view key) {
-  static const json::object kNone;
-  const json::value* value = object.if_contains(key);
-  return value && value->is_object() ? value->get_object() : kNone;
-}
-const json::array& Array(const json::object& object, std::string_view key) {
-  static const json::array kNone;
-  const json::value* value = object.if_contains(key);
-  return value && value->is_array() ? value->get_array() : kNone;
-}
-
 std::string DrawId() {
   std::random_device random;
   char text[17];
@@ -57,29 +33,10 @@
   return text;
 }
 
-// The answer of an agent that has it the wrong way round would break the tool: checked once, here.
-const json::object* Body(const api::Reply& reply) { return reply.body.if_object(); }
-
 }  // namespace
 
 int Worse(int a, int b) { return std::max(a, b); }
 
-// What all agents say, and what of it was meant.
-struct Commands::View {
-  struct Line {
-    std::string agent, name;
-    json::object instance;
-  };
-  struct Agent {
-    AgentTarget target;
-    json::object status;  // empty: it did not answer
-    std::uint64_t generation = 0;
-  };
-  std::vector<Agent> agents;
-  std::vector<Line> lines;
-  int code = kAllDid;
-};
-
 struct Commands::Submitted {
   AgentTarget agent;
   std::string id;
@@ -190,6 +147,11 @@
   return view;
 }
 
+const AgentTarget& Commands::AgentOf(const View::Line& line) const {
+  return *std::find_if(settings_.agents.begin(), settings_.agents.end(),
+                       [&](const AgentTarget& agent) { return agent.name == line.agent; });
+}
+
 std::string Commands::TableOf(const View& view) const {
   const bool several = settings_.agents.size() > 1;
   std::vector<std::string> header{"INSTANCE", "STATE", "UP",         "TAKEN",    "SERVED", "REFUSED",
@@ -226,7 +188,8 @@
     if (several) row.insert(row.begin(), line.agent);
     table.Add(std::move(row));
   }
-  std::string text = table.Text();
+  // No table where nobody answered; what was asked and why there is none stands on the error output.
+  std::string text = table.empty() ? "" : table.Text();
   for (const View::Agent& agent : view.agents) {
     if (agent.status.empty()) continue;
     text += (several ? agent.target.name + ": " : std::string()) + "generation " +
@@ -279,9 +242,8 @@
   int code = view.code;
   json::array all;
   for (const View::Line& line : view.lines) {
-    const auto agent = std::find_if(settings_.agents.begin(), settings_.agents.end(),
-                                    [&](const AgentTarget& a) { return a.name == line.agent; });
-    const api::Reply reply = One(*agent, "GET", "/v1/instances/" + line.name, "", Timeout(kUsualTimeout));
+    const api::Reply reply =
+        One(AgentOf(line), "GET", "/v1/instances/" + line.name, "", Timeout(kUsualTimeout));
     if (!reply.ok() || !Body(reply)) {
       code = Worse(code, Complain(line.agent, reply));
       continue;
@@ -313,7 +275,10 @@
       const json::object& c = item.get_object();
       const auto number = [&](const char* key) {
         const json::value* value = c.if_contains(key);
-        return value && value->is_number() ? json::serialize(*value) : std::string("-");
+        if (!value || !value->is_number()) return std::string("-");
+        char text[32];
+        std::snprintf(text, sizeof text, "%.10g", value->to_number<double>());
+        return std::string(text);
       };
       std::string budget = "-";
       if (c.contains("cold_budget")) {
@@ -659,10 +624,9 @@
   int code = view.code;
   json::array all;
   for (const View::Line& line : view.lines) {
-    const auto agent = std::find_if(settings_.agents.begin(), settings_.agents.end(),
-                                    [&](const AgentTarget& a) { return a.name == line.agent; });
-    const api::Reply reply = One(*agent, "GET", "/v1/logs/" + line.name + "?lines=" + std::to_string(lines),
-                                 "", Timeout(kUsualTimeout));
+    const api::Reply reply =
+        One(AgentOf(line), "GET", "/v1/logs/" + line.name + "?lines=" + std::to_string(lines), "",
+            Timeout(kUsualTimeout));
     if (!reply.ok() || !Body(reply)) {
       code = Worse(code, Complain(line.agent, reply));
       continue;
@@ -686,18 +650,19 @@
   local cur="${COMP_WORDS[COMP_CWORD]}" command="" word
   for word in "${COMP_WORDS[@]:1:COMP_CWORD-1}"; do
     case "$word" in
-      status|get|start|stop|drain|undrain|reload|roll|apply|diff|orders|logs|watch|check|completion)
+      status|get|start|stop|drain|undrain|reload|roll|apply|diff|orders|logs|watch|members|check|completion)
         command="$word"; break ;;
     esac
   done
   if [[ "$cur" == -* ]]; then
     COMPREPLY=($(compgen -W "--context --socket --output --timeout --help --label --agent --state --all --deadline
-      --force-after --supersede --against --dry-run --no-wait --at-most --id --as --lines --every --count" -- "$cur"))
+      --force-after --supersede --against --dry-run --no-wait --at-most --id --as --lines --every --count --operator
+      --etcd --address --zone --kind --group --weight --since --ttl --drain-for" -- "$cur"))
     return
   fi
   case "$command" in
-    "") COMPREPLY=($(compgen -W "status get start stop drain undrain reload roll apply diff orders logs watch check
-          completion" -- "$cur")) ;;
+    "") COMPREPLY=($(compgen -W "status get start stop drain undrain reload roll apply diff orders logs watch members
+          check completion" -- "$cur")) ;;
     apply|diff|check) COMPREPLY=($(compgen -f -- "$cur")) ;;
     completion) COMPREPLY=($(compgen -W "bash" -- "$cur")) ;;
     *) COMPREPLY=($(compgen -W "$(badgerctl status -o names --timeout 1s 2>/dev/null)" -- "$cur")) ;
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -57,9 +57,27 @@
   int Diff(const std::string& path);
   int Orders(const std::string& id);
   int Logs(const Selection& selection, int lines);
+  // Who the converters are, as the chosen proxies believe.
+  int Members(const Selection& selection);
+  // Departures that the chosen proxies hold back have really happened.
+  int Release(const Selection& selection);
 
  private:
-  struct View;
+  // What all agents say, and what of it was meant.
+  struct View {
+    struct Line {
+      std::string agent, name;
+      boost::json::object instance;
+    };
+    struct Agent {
+      AgentTarget target;
+      boost::json::object status;  // empty: it did not answer
+      std::uint64_t generation = 0;
+    };
+    std::vector<Agent> agents;
+    std::vector<Line> lines;
+    int code = kAllDid;
+  };
   struct Submitted;
 
   api::Reply One(const AgentTarget& agent, std::string method, std::string target, std::string body,
@@ -67,6 +85,7 @@
   std::vector<api::Reply> Each(const std::vector<AgentTarget>& agents, const std::string& target,
                                std::chrono::milliseconds timeout);
   View Look(const Selection& selection);
+  const AgentTarget& AgentOf(const View::Line& line) const;
   std::string TableOf(const View& view) const;
   int Carry(std::vector<Submitted> orders, const OrderOptions& options, const std::string& path);
   int Report(const std::vector<Submitted>& orders, const OrderOptions& options);
--- a/src/ctl/context.cpp
+++ b/src/ctl/context.cpp
@@ -1,10 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "ctl/context.h"
 
-#include <boost/asio/ip/address.hpp>
-#include <charconv>
 #include <set>
 
+#include "api/address.h"
 #include "operator/table_reader.h"
 
 namespace badgerbridge::ctl {
@@ -12,21 +11,6 @@
 
 using operator_file::TableReader;
 
-bool ReadAddress(const std::string& text, boost::asio::ip::tcp::endpoint* endpoint) {
-  const std::size_t colon = text.rfind(':');
-  if (colon == std::string::npos) return false;
-  std::string host = text.substr(0, colon);
-  if (host.size() > 2 && host.front() == '[' && host.back() == ']') host = host.substr(1, host.size() - 2);
-  std::uint16_t port = 0;
-  const char* end = text.data() + text.size();
-  const auto [at, error] = std::from_chars(text.data() + colon + 1, end, port);
-  boost::system::error_code bad;
-  const auto address = boost::asio::ip::make_address(host, bad);
-  if (bad || error != std::errc() || at != end || port == 0) return false;
-  *endpoint = {address, port};
-  return true;
-}
-
 AgentTarget ReadAgent(TableReader& table) {
   AgentTarget agent;
   table.Require("name", "the agent's name, as in its fleet file");
@@ -37,7 +21,9 @@
     table.Report("socket", "and address: give one of them, the path of a Unix socket or an address and port");
   if (table.Has("socket") && (agent.target.unix_path.empty() || agent.target.unix_path.front() != '/'))
     table.Report("socket", "is no absolute path; one that begins with / would be right");
-  if (table.Has("address") && !ReadAddress(address, &agent.target.address))
+  const auto endpoint = api::ParseAddress(address);
+  if (endpoint) agent.target.address = *endpoint;
+  if (table.Has("address") && (!endpoint || endpoint->port() == 0))
     table.Report("address", "is no address and port; \"127.0.0.1:7443\" would be right");
   agent.target.server_name = table.Text("server_name");
   for (auto [key, field] :
--- /dev/null
+++ b/src/ctl/etcd_commands.cpp
@@ -0,0 +1,153 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "ctl/etcd_commands.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/json.hpp>
+#include <ostream>
+#include <random>
+
+#include "ctl/commands.h"
+#include "ctl/render.h"
+#include "membership/etcd_settings.h"
+#include "membership/registrar.h"
+#include "membership/value.h"
+
+namespace badgerbridge::ctl {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+namespace pb = etcdserverpb;
+using std::chrono::milliseconds;
+using Clock = std::chrono::steady_clock;
+
+constexpr int kMostSwaps = 20;  // where others write the same key all the time
+
+struct Outcome {
+  std::string result, text;
+  int code = kAllDid;
+};
+
+Outcome Failed(int code, std::string text) { return {"failed", std::move(text), code}; }
+
+Outcome Failed(const etcd::Status& status) {
+  const bool denied =
+      status.code == etcd::Code::kUnauthenticated || status.code == etcd::Code::kPermissionDenied;
+  return Failed(denied               ? kNotAllowed
+                : status.Retriable() ? kOutOfReach
+                                     : kSomeDidNot,
+                "etcd: " + status.Text());
+}
+
+asio::awaitable<Outcome> Change(etcd::Client& client, std::string key, membership::State state, bool dry_run,
+                                milliseconds timeout) {
+  const auto due = Clock::now() + timeout;
+  const auto left = [&] {
+    return std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(due - Clock::now()));
+  };
+  const std::string word(membership::Name(state));
+  pb::RangeRequest range;
+  range.set_key(key);
+  pb::RangeResponse found;
+  etcd::Status status = co_await client.Call("/etcdserverpb.KV/Range", range, &found, left());
+  if (!status.ok()) co_return Failed(status);
+  for (int i = 0; i < kMostSwaps; ++i) {
+    if (found.kvs_size() == 0) co_return Failed(kSomeDidNot, "etcd has no key " + key);
+    std::string problem;
+    const auto txn = membership::ChangeOfState(found.kvs(0), state, &problem);
+    if (!problem.empty()) co_return Failed(kSomeDidNot, key + ": " + problem);
+    if (!txn)
+      co_return Outcome{"done",
+                        "it is " + word + " since revision " + std::to_string(found.kvs(0).mod_revision()),
+                        kAllDid};
+    if (dry_run) co_return Outcome{"dry run", "would be written as " + word, kAllDid};
+    pb::TxnResponse answer;
+    status = co_await client.Call("/etcdserverpb.KV/Txn", *txn, &answer, left());
+    if (!status.ok()) co_return Failed(status);
+    if (answer.succeeded())
+      co_return Outcome{"done",
+                        "written as " + word + " at revision " + std::to_string(answer.header().revision()),
+                        kAllDid};
+    found.Clear();  // somebody else wrote it between, or this call's first run did: as it is now
+    if (answer.responses_size() > 0) found = answer.responses(0).response_range();
+  }
+  co_return Failed(kConflict, "others write " + key + " all the time");
+}
+
+}  // namespace
+
+int ChangeMembers(const EtcdCommand& command, const std::vector<std::string>& names, membership::State state,
+                  std::ostream& out, std::ostream& err) {
+  asio::io_context io(1);
+  int code = kAllDid;
+  json::array all;
+  Table table({"CONVERTER", "ASKED", "RESULT", "WHAT HAPPENED", "TOOK"}, command.color);
+  const std::string asked = state == membership::State::kReady ? "undrain" : "drain";
+  const milliseconds timeout = command.timeout > milliseconds(0) ? command.timeout : milliseconds(5000);
+  try {
+    std::random_device random;
+    etcd::Client client(io, membership::ClientSettingsOf(command.etcd), random());
+    for (const std::string& name : names) {
+      const auto began = Clock::now();
+      Outcome outcome = Failed(kSomeDidNot, "the call could not be made");
+      asio::co_spawn(io, Change(client, command.etcd.prefix + name, state, command.dry_run, timeout),
+                     [&](std::exception_ptr failure, Outcome answer) {
+                       if (!failure) outcome = std::move(answer);
+                       io.stop();
+                     });
+      io.restart();
+      io.run();
+      code = Worse(code, outcome.code);
+      const auto took = std::chrono::duration_cast<milliseconds>(Clock::now() - began).count();
+      table.Add({name, asked, outcome.result, outcome.text, Age(took)});
+      all.push_back(json::object{{"converter", name},
+                                 {"asked", asked},
+                                 {"result", outcome.result},
+                                 {"text", outcome.text},
+                                 {"took_ms", took}});
+    }
+  } catch (const std::exception& bad) {
+    err << "badgerctl: " << bad.what() << '\n';
+    return kUsage;
+  }
+  out << (command.json ? json::serialize(all) + "\n" : table.Text());
+  return code;
+}
+
+int RegisterMember(const EtcdCommand& command, membership::RegistrationSettings settings, std::ostream& err) {
+  asio::io_context io(1);
+  settings.prefix = command.etcd.prefix;
+  try {
+    std::random_device random;
+    bool registered = false;
+    std::string said;
+    membership::Registrar registrar(io, membership::ClientSettingsOf(command.etcd), settings, random(),
+                                    [&](const membership::Registration& now) {
+                                      if (now.registered() && !registered) {
+                                        registered = true;
+                                        err << "badgerctl: " << settings.member.name
+                                            << " is registered, lease " << now.lease() << std::endl;
+                                      } else if (now.why() != said && !now.registered()) {
+                                        said = now.why();
+                                        err << "badgerctl: " << said << std::endl;
+                                      }
+                                      registered = registered && now.lease() != 0;
+                                    });
+    bool asked = false;
+    asio::signal_set signals(io, SIGINT, SIGTERM);
+    signals.async_wait([&](const boost::system::error_code& error, int) {
+      if (error) return;
+      asked = true;
+      registrar.Stop();
+    });
+    asio::co_spawn(io, registrar.Run(), [&](std::exception_ptr) { io.stop(); });
+    io.run();
+    return asked ? kAllDid : kSomeDidNot;
+  } catch (const std::exception& bad) {
+    err << "badgerctl: " << bad.what() << '\n';
+    return kUsage;
+  }
+}
+
+}  // namespace badgerbridge::ctl
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -9,6 +9,10 @@
 #include <iostream>
 
 #include "ctl/commands.h"
+#ifdef BADGERBRIDGE_HAS_ETCD
+#include "ctl/etcd_commands.h"
+#endif
+#include "api/address.h"
 #include "fleet/fleet_file.h"
 #include "operator/operator_file.h"
 #include "operator/table_reader.h"
@@ -43,6 +47,11 @@
 struct Arguments {
   std::string context, socket, output = "table", timeout, file, order, shell;
   std::string deadline = "30s", force_after, every = "1s";
+  std::string operators;  // the operator's file that says where etcd is
+  std::vector<std::string> etcd, converters;
+  std::string address, zone, kind, ttl = "10s", drain_for = "2s";
+  int group = 0;
+  double weight = 1, since_ms = 0;
   ctl::Selection selection;
   ctl::OrderOptions options;
   int lines = 50, count = 0;
@@ -77,9 +86,82 @@
   return parsed;
 }
 
+#ifdef BADGERBRIDGE_HAS_ETCD
+// members drain, undrain and register: they ask etcd itself.
+int RunEtcd(const std::string& command, Arguments& a) {
+  ctl::EtcdCommand how;
+  if (a.operators.empty() && a.etcd.empty()) {
+    if (const char* named = std::getenv("BADGERBRIDGE_OPERATOR")) a.operators = named;
+  }
+  if (a.operators.empty() && a.etcd.empty()) {
+    std::cerr
+        << "badgerctl: say where etcd is: --operator FILE, whose [etcd] table tells, or --etcd ADDRESS\n";
+    return ctl::kUsage;
+  }
+  operator_file::Problems problems;
+  if (!a.operators.empty()) {
+    const auto file = operator_file::Load(a.operators, problems);
+    if (problems.empty() && !file.etcd) problems.push_back({a.operators, 0, 0, "has no [etcd] table"});
+    if (file.etcd) how.etcd = *file.etcd;
+  }
+  std::cerr << operator_file::Lines(problems);
+  if (!problems.empty()) return ctl::kUsage;
+  if (!a.etcd.empty()) how.etcd.endpoints = a.etcd;
+  for (const std::string& endpoint : how.etcd.endpoints) {
+    const auto parsed = api::ParseAddress(endpoint);
+    if (parsed && parsed->port() != 0) continue;
+    std::cerr << "badgerctl: --etcd " << endpoint
+              << " is no address and port; 127.0.0.1:2379 would be right\n";
+    return ctl::kUsage;
+  }
+  how.json = a.output == "json";
+  how.dry_run = a.options.dry_run;
+  if (!a.timeout.empty()) {
+    const auto timeout = Parse(a.timeout, "--timeout");
+    if (!timeout) return ctl::kUsage;
+    how.timeout = std::max(*timeout, milliseconds(1));
+  }
+  if (command == "drain" || command == "undrain") {
+    const auto state = command == "drain" ? membership::State::kDraining : membership::State::kReady;
+    return ctl::ChangeMembers(how, a.converters, state, std::cout, std::cerr);
+  }
+  const auto ttl = Parse(a.ttl, "--ttl"), drain_for = Parse(a.drain_for, "--drain-for");
+  if (!ttl || !drain_for) return ctl::kUsage;
+  const auto address = api::ParseAddress(a.address);
+  if (!address || address->port() == 0 || *ttl < milliseconds(1000)) {
+    std::cerr << "badgerctl: register takes --address ADDRESS:PORT and a --ttl of at least 1s\n";
+    return ctl::kUsage;
+  }
+  membership::RegistrationSettings settings;
+  settings.member.name = a.converters.front();
+  settings.member.address = a.address;
+  settings.member.zone = a.zone;
+  settings.member.kind = a.kind;
+  settings.member.group = a.group;
+  settings.member.weight = a.weight;
+  settings.member.since_ms = a.since_ms;
+  if (settings.member.since_ms == 0)
+    settings.member.since_ms = static_cast<double>(
+        std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+            .count());
+  settings.ttl_s = ttl->count() / 1000;
+  settings.drain_for = *drain_for;
+  return ctl::RegisterMember(how, settings, std::cerr);
+}
+#else
+int RunEtcd(const std::string&, Arguments&) {
+  std::cerr << "badgerctl: this build is without etcd; build with -DBADGERBRIDGE_ETCD=ON\n";
+  return ctl::kUsage;
+}
+#endif
+
 int Run(const CLI::App& app, Arguments& a) {
   const CLI::App* chosen = app.get_subcommands().front();
   const std::string command = chosen->get_name();
+  std::string members;  // of which command
+  if (command == "members" && !chosen->get_subcommands().empty())
+    members = chosen->get_subcommands().front()->get_name();
+  if (!members.empty() && members != "release") return RunEtcd(members, a);
   if (command == "check") return Check(a.file);
   if (command == "completion") {
     std::cout << ctl::kBashCompletion;
@@ -128,6 +210,8 @@
   if (command == "get") return commands.Get(a.selection);
   if (command == "watch") return commands.Watch(a.selection, *every, a.count);
   if (command == "orders") return commands.Orders(a.order);
+  if (members == "release") return commands.Release(a.selection);
+  if (command == "members") return commands.Members(a.selection);
   if (command == "logs") return commands.Logs(a.selection, a.lines);
   if (command == "diff") return commands.Diff(a.file);
   if (command == "apply") return commands.Apply(a.file, a.options);
@@ -180,6 +264,37 @@
   auto* logs = app.add_subcommand("logs", "the last lines of instances' logs");
   AddSelection(logs, a);
   logs->add_option("--lines", a.lines, "how many (50)")->check(CLI::Range(1, 10000));
+  auto* members =
+      app.add_subcommand("members", "who the converters are, as proxies believe; what etcd says of them");
+  AddSelection(members, a);
+  const auto etcd_member = [&](const char* name, const char* what) {
+    auto* sub = members->add_subcommand(name, what);
+    sub->add_option("--operator", a.operators,
+                    "the operator's file whose [etcd] table says where etcd is "
+                    "(BADGERBRIDGE_OPERATOR)");
+    sub->add_option("--etcd", a.etcd,
+                    "a member's ADDRESS:PORT, instead of those in the file; may stand again");
+    return sub;
+  };
+  for (const char* name : {"drain", "undrain"}) {
+    auto* sub = etcd_member(
+        name, name == std::string("drain") ? "write that converters drain" : "and that they don't");
+    sub->add_option("converters", a.converters, "their names")->required();
+    sub->add_flag("--dry-run", a.options.dry_run, "say what would be written, and write nothing");
+  }
+  auto* member = etcd_member("register", "keep a converter's key and its lease until this is ended");
+  member->add_option("converter", a.converters, "its name")->required()->expected(1);
+  member->add_option("--address", a.address, "where it takes requests, ADDRESS:PORT")->required();
+  member->add_option("--zone", a.zone, "its zone");
+  member->add_option("--kind", a.kind, "its kind");
+  member->add_option("--group", a.group, "its group")->check(CLI::NonNegativeNumber);
+  member->add_option("--weight", a.weight, "its weight (1)")->check(CLI::NonNegativeNumber);
+  member->add_option("--since", a.since_ms, "when it started, Unix time in ms (now)")
+      ->check(CLI::NonNegativeNumber);
+  member->add_option("--ttl", a.ttl, "of the lease (10s)");
+  member->add_option("--drain-for", a.drain_for, "at the end: how long it says that it drains (2s)");
+  AddSelection(members->add_subcommand("release", "departures that proxies hold back have really happened"),
+               a);
   app.add_subcommand("check", "check an operator's, fleet or context file, and start nothing")
       ->add_option("file", a.file, "the file")
       ->required();
--- a/src/drill/codec.cpp
+++ b/src/drill/codec.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "codec.h"
+#include "drill/codec.h"
 
 #include <bit>
 #include <cstring>
--- a/src/drill/host.cpp
+++ b/src/drill/host.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "host.h"
+#include "drill/host.h"
 
 #include <ostream>
 #include <utility>
--- a/src/drill/host.h
+++ b/src/drill/host.h
@@ -9,7 +9,7 @@
 #include <set>
 #include <string>
 
-#include "codec.h"
+#include "drill/codec.h"
 #include "fordlb/balancer.h"
 
 namespace fordlb::drill {
--- a/src/drill/main.cpp
+++ b/src/drill/main.cpp
@@ -2,8 +2,8 @@
 #include <exception>
 #include <iostream>
 
-#include "codec.h"
-#include "host.h"
+#include "drill/codec.h"
+#include "drill/host.h"
 
 int main() {
   std::ios::sync_with_stdio(false);
--- a/src/fleet/agent.cpp
+++ b/src/fleet/agent.cpp
@@ -15,6 +15,7 @@
 #include <fstream>
 #include <iostream>
 
+#include "api/address.h"
 #include "api/client.h"
 
 namespace badgerbridge::fleet {
@@ -245,14 +246,9 @@
                                  milliseconds(60000)};
   unix_ = std::make_unique<api::UnixServer>(io_, settings_.socket, settings_.allow_uids, limits, handler);
   if (settings_.tls) {
-    const std::string& text = settings_.tls->listen;
-    const std::size_t colon = text.rfind(':');
-    std::string host = text.substr(0, colon);
-    if (host.size() > 2 && host.front() == '[') host = host.substr(1, host.size() - 2);
-    const asio::ip::tcp::endpoint address(asio::ip::make_address(host),
-                                          static_cast<std::uint16_t>(std::stoi(text.substr(colon + 1))));
     tls_ = std::make_unique<api::TlsServer>(
-        io_, address, api::TlsFiles{settings_.tls->certificate, settings_.tls->key, settings_.tls->client_ca},
+        io_, *api::ParseAddress(settings_.tls->listen),  // checked when the file was read
+        api::TlsFiles{settings_.tls->certificate, settings_.tls->key, settings_.tls->client_ca},
         settings_.tls->roles, limits, handler);
   }
   Raise(Tick{});
@@ -671,9 +667,18 @@
     api::Response response = co_await GetOrder(below("/v1/orders/"), request);
     co_return response;
   }
-  if (read && !below("/v1/instances/").empty()) {
-    api::Response response = co_await GetInstance(below("/v1/instances/"));
-    co_return response;
+  if (const std::string rest = below("/v1/instances/"); !rest.empty()) {
+    const std::size_t slash = rest.find('/');
+    const std::string name = rest.substr(0, slash),
+                      what = slash == std::string::npos ? "" : rest.substr(slash);
+    if (read && what.empty()) {
+      api::Response response = co_await GetInstance(name);
+      co_return response;
+    }
+    if ((read && what == "/members") || (write && what == "/members/release")) {
+      api::Response response = co_await Pass(name, "/v1" + what, peer, write);
+      co_return response;
+    }
   }
   if (read && !below("/v1/logs/").empty()) co_return GetLog(below("/v1/logs/"), request);
   if (write && request.path == "/v1/orders") co_return PostOrder(request, peer);
@@ -700,6 +705,22 @@
   co_return api::Response{200, std::move(one)};
 }
 
+// On to the instance's own control API, and its answer back. What changes something is in the audit log
+// first.
+asio::awaitable<api::Response> Agent::Pass(std::string name, std::string path, api::Peer peer, bool write) {
+  const auto found = fleet_.instances().find(name);
+  if (found == fleet_.instances().end()) co_return api::Error(404, "there is no instance " + name);
+  if (found->second.pid == 0) co_return api::Error(409, "the instance " + name + " does not run");
+  if (write && !Audit(peer.who, "asked", {{"instance", name}, {"path", path}}))
+    co_return api::Error(507, "the agent cannot write its audit log, and asks nothing without it");
+  const std::string socket = DefinitionOf(found->second.definition).control_socket;
+  const api::Reply reply =
+      co_await api::CallUnix(socket, write ? "POST" : "GET", path, write ? "{}" : "", kCallTimeout);
+  if (write) Audit(peer.who, "answered", {{"instance", name}, {"path", path}, {"status", reply.status}});
+  if (reply.status == 0) co_return api::Error(504, "the instance does not answer: " + reply.Why());
+  co_return api::Response{reply.status, reply.body};
+}
+
 // With wait_ms, answers once something has changed since `seen`, or the order has ended.
 asio::awaitable<api::Response> Agent::GetOrder(std::string id, api::Request request) {
   const auto wait = milliseconds(api::QueryNumber(request, "wait_ms", 0, kMostWait.count()));
--- a/src/fleet/agent.h
+++ b/src/fleet/agent.h
@@ -75,6 +75,7 @@
   boost::json::object Describe(const Instance& instance) const;
   boost::json::object Describe(const OrderState& order, bool whole) const;
   boost::asio::awaitable<api::Response> GetInstance(std::string name);
+  boost::asio::awaitable<api::Response> Pass(std::string name, std::string path, api::Peer peer, bool write);
   boost::asio::awaitable<api::Response> GetOrder(std::string id, api::Request request);
   api::Response GetLog(const std::string& name, const api::Request& request) const;
   api::Response PostOrder(const api::Request& request, const api::Peer& peer);
--- a/src/fleet/fleet_file.cpp
+++ b/src/fleet/fleet_file.cpp
@@ -2,11 +2,10 @@
 #include "fleet/fleet_file.h"
 
 #include <algorithm>
-#include <boost/asio/ip/address.hpp>
 #include <boost/json.hpp>
-#include <charconv>
 #include <set>
 
+#include "api/address.h"
 #include "operator/operator_file.h"
 #include "operator/table_reader.h"
 
@@ -31,20 +30,6 @@
          name.front() != '.' && name.front() != '-';
 }
 
-bool GoodAddress(const std::string& text) {
-  const std::size_t colon = text.rfind(':');
-  if (colon == std::string::npos) return false;
-  unsigned port = 0;
-  const char* end = text.data() + text.size();
-  const auto [at, error] = std::from_chars(text.data() + colon + 1, end, port);
-  if (error != std::errc() || at != end || port > 65535) return false;
-  std::string host = text.substr(0, colon);
-  if (host.size() >= 2 && host.front() == '[' && host.back() == ']') host = host.substr(1, host.size() - 2);
-  boost::system::error_code bad;
-  boost::asio::ip::make_address(host, bad);
-  return !bad;
-}
-
 void CheckName(TableReader& table, const std::string& name) {
   if (table.Has("name") && !GoodName(name))
     table.Report("name", "is not 1 to 64 letters, digits, '-', '_' or '.', the first a letter or digit");
@@ -54,7 +39,7 @@
   TlsSettings tls;
   table.Require("listen", "an address and port, as in listen = \"127.0.0.1:7443\"");
   tls.listen = table.Text("listen");
-  if (table.Has("listen") && !GoodAddress(tls.listen))
+  if (table.Has("listen") && !api::ParseAddress(tls.listen))
     table.Report("listen", "is no address and port; \"127.0.0.1:7443\" would be right");
   for (auto [key, field] : {std::pair("certificate", &tls.certificate), std::pair("key", &tls.key),
                             std::pair("client_ca", &tls.client_ca)}) {
@@ -125,7 +110,7 @@
       table.Report("environment", "has a variable that cannot be one: " + key);
   }
   one.listen = table.Text("listen");
-  if (table.Has("listen") && !GoodAddress(one.listen))
+  if (table.Has("listen") && !api::ParseAddress(one.listen))
     table.Report("listen", "is no address and port; \"127.0.0.1:8080\" would be right");
   table.Require("operator_file",
                 "the operator's file of this instance, whose [control] table the agent needs");
--- a/src/membership/feed.cpp
+++ b/src/membership/feed.cpp
@@ -1,12 +1,18 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "membership/feed.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace badgerbridge::membership {
 
 namespace pb = etcdserverpb;
 
 Feed::Feed(FeedSettings settings, std::uint64_t seed)
-    : settings_(std::move(settings)), random_(seed), backoff_(settings_.first_backoff) {
+    : settings_(std::move(settings)),
+      random_(seed),
+      backoff_(settings_.first_backoff),
+      patience_(settings_.call_timeout) {
   endpoint_ = random_() % settings_.endpoints;  // proxies spread over the members
 }
 
@@ -20,9 +26,12 @@
 
 void Feed::Begin(Time now, Actions* actions) {
   state_ = State::kConnecting;
-  wake_ = now + settings_.call_timeout * 2;
+  wake_ = now + patience_;
+  began_ = now;
+  longest_ = Time(0);
   events_.clear();
   listing_.clear();
+  unreadable_.clear();
   asked_ = false;
   actions->push_back(Connect{endpoint_});
 }
@@ -36,6 +45,17 @@
   const auto half = static_cast<std::uint64_t>(backoff_.count() / 2);
   wake_ = now + Time(static_cast<std::int64_t>(half + random_() % (half + 1)));
   backoff_ = std::min(settings_.most_backoff, backoff_ * 2);
+  if (++failures_ % settings_.endpoints == 0) patience_ = std::min(settings_.call_timeout, patience_ * 2);
+}
+
+// The next step of coming to follow a member has as long as patience allows: a member that is up and says
+// nothing must cost little, since a drain may be waiting. It grows while all of them fail, and is never under
+// twice what the last good ones took.
+void Feed::Next(Time now, State state) {
+  longest_ = std::max(longest_, now - began_);
+  began_ = now;
+  state_ = state;
+  wake_ = now + patience_;
 }
 
 void Feed::Tick(Time now, Actions* actions) {
@@ -59,9 +79,8 @@
 
 void Feed::Opened(Time now, Actions* actions) {
   if (state_ != State::kConnecting) return;
-  wake_ = now + settings_.call_timeout;
   if (settings_.authenticate) {
-    state_ = State::kAuthenticating;
+    Next(now, State::kAuthenticating);
     actions->push_back(Authenticate{});
     return;
   }
@@ -76,8 +95,7 @@
   }
   if (!known_) return List(now, actions);
   // What is committed? By a read that can't be behind, of a single key.
-  state_ = State::kProbing;
-  wake_ = now + settings_.call_timeout;
+  Next(now, State::kProbing);
   Range range;
   range.request.set_key(settings_.prefix);
   range.request.set_limit(1);
@@ -89,6 +107,7 @@
   state_ = State::kListing;
   wake_ = now + settings_.call_timeout;
   listing_.clear();
+  unreadable_.clear();
   listing_at_ = 0;
   Range range;
   range.request.set_key(settings_.prefix);
@@ -97,19 +116,12 @@
   actions->push_back(std::move(range));
 }
 
-void Feed::TakeValue(const pb::KeyValue& kv, std::map<std::string, Member>* into, Actions* actions) {
-  if (kv.key().rfind(settings_.prefix, 0) != 0) return;
-  const std::string name = kv.key().substr(settings_.prefix.size());
+std::optional<Member> Feed::ValueIn(const pb::KeyValue& kv, Actions* actions) const {
   Member member;
-  const auto problem = ReadMember(name, kv.value(), &member);
+  const auto problem = ReadMember(kv.key().substr(settings_.prefix.size()), kv.value(), &member);
   actions->push_back(BadKey{kv.key(), problem.value_or("")});
-  if (!problem) {
-    (*into)[name] = std::move(member);
-    return;
-  }
-  // The last good entry stays.
-  const auto known = members_.find(name);
-  if (known != members_.end()) (*into)[name] = known->second;
+  if (problem) return std::nullopt;
+  return member;
 }
 
 void Feed::Ranged(Time now, const etcd::Status& status, const pb::RangeResponse& response, Actions* actions) {
@@ -124,6 +136,7 @@
   if (state_ == State::kProbing) {
     if (header.cluster_id() != cluster_ || header.revision() < revision_) return List(now, actions);
     ++resumes_;
+    longest_ = std::max(longest_, now - began_);
     return StartWatch(now, actions);
   }
   if (listing_at_ == 0) {
@@ -132,7 +145,14 @@
   } else if (header.cluster_id() != listing_cluster_) {
     return Fail(now, "another cluster answers in the midst of a list", actions);
   }
-  for (const pb::KeyValue& kv : response.kvs()) TakeValue(kv, &listing_, actions);
+  for (const pb::KeyValue& kv : response.kvs()) {
+    if (kv.key().rfind(settings_.prefix, 0) != 0) continue;
+    if (auto member = ValueIn(kv, actions)) {
+      listing_.push_back(std::move(*member));
+    } else {
+      unreadable_.push_back(kv.key().substr(settings_.prefix.size()));
+    }
+  }
   if (response.more() && response.kvs_size() > 0) {
     wake_ = now + settings_.call_timeout;
     Range range;
@@ -145,11 +165,14 @@
   }
   ++lists_;
   Tell tell;
-  tell.report = {settings_.source, listing_cluster_, static_cast<std::uint64_t>(listing_at_), true, true, {}};
-  for (const auto& [name, member] : listing_) tell.report.members.push_back(member);
+  tell.report = {settings_.source,
+                 listing_cluster_,
+                 static_cast<std::uint64_t>(listing_at_),
+                 true,
+                 true,
+                 std::exchange(listing_, {}),
+                 std::exchange(unreadable_, {})};
   actions->push_back(std::move(tell));
-  members_ = std::move(listing_);
-  listing_.clear();
   known_ = true;
   cluster_ = listing_cluster_;
   revision_ = listing_at_;
@@ -187,6 +210,8 @@
   }
   if (response.created()) {
     backoff_ = settings_.first_backoff;
+    failures_ = 0;
+    patience_ = std::clamp(longest_ * 2, settings_.first_patience, settings_.call_timeout);
     actions->push_back(Alive{});
     return;
   }
@@ -216,26 +241,19 @@
     const std::string name = event.kv().key().substr(settings_.prefix.size());
     if (event.type() == pb::Event::DELETE) {
       actions->push_back(BadKey{event.kv().key(), ""});
-      const auto known = members_.find(name);
-      if (known == members_.end()) continue;
-      Member gone = known->second;
+      Member gone;
+      gone.name = name;
       gone.state = membership::State::kGone;
-      members_.erase(known);
       changed[name] = std::move(gone);
-    } else {
-      std::map<std::string, Member> one;
-      TakeValue(event.kv(), &one, actions);
-      for (auto& [key, member] : one) {
-        members_[key] = member;
-        changed[key] = std::move(member);
-      }
+    } else if (auto member = ValueIn(event.kv(), actions)) {
+      changed[name] = std::move(*member);
     }
   }
   events_.clear();
   if (last == revision_) return;
   revision_ = last;
   Tell tell;
-  tell.report = {settings_.source, cluster_, static_cast<std::uint64_t>(last), false, false, {}};
+  tell.report = {settings_.source, cluster_, static_cast<std::uint64_t>(last), false, false, {}, {}};
   for (auto& [name, member] : changed) tell.report.members.push_back(std::move(member));
   actions->push_back(std::move(tell));
 }
--- a/src/membership/feed.h
+++ b/src/membership/feed.h
@@ -36,6 +36,7 @@
   Time first_backoff{20}, most_backoff{2000};
   Time silence{1500};  // a watch that says nothing for so long, not even of its progress, is asked
   Time call_timeout{1000};
+  Time first_patience{100};          // for each of the first steps at a member, once one has been followed
   std::size_t most_events = 200000;  // of one revision, in fragments
 };
 
@@ -91,25 +92,30 @@
   enum class State { kWaiting, kConnecting, kAuthenticating, kProbing, kListing, kWatching };
 
   void Begin(Time now, Actions* actions);
+  void Next(Time now, State state);
   void List(Time now, Actions* actions);
   void StartWatch(Time now, Actions* actions);
   void Fail(Time now, const std::string& why, Actions* actions);
   void Apply(Time now, std::int64_t header_revision, Actions* actions);
-  void TakeValue(const etcdserverpb::KeyValue& kv, std::map<std::string, Member>* into, Actions* actions);
+  // Nothing if its value can't be read: then the last good entry stays.
+  std::optional<Member> ValueIn(const etcdserverpb::KeyValue& kv, Actions* actions) const;
 
   FeedSettings settings_;
   std::mt19937_64 random_;
   State state_ = State::kWaiting;
   std::size_t endpoint_ = 0;
-  Time wake_{0}, backoff_;
-  bool asked_ = false;  // for progress, and no answer yet
-  bool known_ = false;  // a list was read: cluster_ and revision_ mean something
+  Time wake_{0}, backoff_, patience_;
+  Time began_{0}, longest_{0};  // of the steps of this connection: when, and the longest
+  std::size_t failures_ = 0;    // since the last watch
+  bool asked_ = false;          // for progress, and no answer yet
+  bool known_ = false;          // a list was read: cluster_ and revision_ mean something
   std::uint64_t cluster_ = 0;
   std::int64_t revision_ = 0;    // all up to it is applied
   std::int64_t listing_at_ = 0;  // of the pages that are being read
   std::uint64_t listing_cluster_ = 0;
-  std::map<std::string, Member> listing_, members_;  // by name; members_ as last told
-  std::vector<etcdserverpb::Event> events_;          // of fragments
+  std::vector<Member> listing_;
+  std::vector<std::string> unreadable_;      // of the same pages
+  std::vector<etcdserverpb::Event> events_;  // of fragments
   std::uint64_t lists_ = 0, resumes_ = 0;
   std::string trouble_;
 };
--- a/src/membership/ledger.cpp
+++ b/src/membership/ledger.cpp
@@ -56,7 +56,7 @@
     touched->insert(member.name);
   };
   if (report.whole) {
-    std::set<std::string_view> listed;
+    std::set<std::string_view> listed(report.unreadable.begin(), report.unreadable.end());
     for (const Member& member : report.members) {
       if (member.state != State::kGone) listed.insert(member.name);
     }
@@ -172,6 +172,7 @@
 }
 
 void Ledger::Judge(Time now, const std::set<std::string>& touched, std::vector<Member>* changes) {
+  const std::size_t before = changes->size();  // names are met once here, so only those can be met again
   for (const std::string& name : touched) {
     Believed next = Decide(name);
     const auto known = believed_.find(name);
@@ -186,9 +187,10 @@
     }
     ready_ += (next.member.state == State::kReady) - was_ready;
     // As one change, whatever came before it in the same call.
-    const auto earlier = std::find_if(changes->begin(), changes->end(),
-                                      [&](const Member& member) { return member.name == name; });
-    if (earlier != changes->end()) {
+    const auto end = changes->begin() + static_cast<std::ptrdiff_t>(before);
+    const auto earlier =
+        std::find_if(changes->begin(), end, [&](const Member& member) { return member.name == name; });
+    if (earlier != end) {
       *earlier = next.member;
     } else {
       changes->push_back(next.member);
--- a/src/membership/ledger.h
+++ b/src/membership/ledger.h
@@ -64,6 +64,8 @@
   // rewound.
   bool certain = false;
   std::vector<Member> members;
+  // Of a whole list: names that it holds too, with what can't be read. What was last known of them stays.
+  std::vector<std::string> unreadable = {};
 };
 
 struct Believed {
--- a/src/node/backend.cpp
+++ b/src/node/backend.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "backend.h"
+#include "node/backend.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
--- a/src/node/backend.h
+++ b/src/node/backend.h
@@ -13,9 +13,9 @@
 #include <unordered_map>
 #include <vector>
 
-#include "clock.h"
-#include "discovery.h"
 #include "fordlb/balancer.h"
+#include "node/clock.h"
+#include "node/discovery.h"
 
 namespace fordlb::node {
 
--- a/src/node/client.cpp
+++ b/src/node/client.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "client.h"
+#include "node/client.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
--- a/src/node/client.h
+++ b/src/node/client.h
@@ -19,8 +19,8 @@
 #include <utility>
 #include <vector>
 
-#include "config.h"
-#include "proxy.h"
+#include "node/config.h"
+#include "node/proxy.h"
 
 namespace fordlb::node {
 
--- a/src/node/config.h
+++ b/src/node/config.h
@@ -14,6 +14,7 @@
 #include <string_view>
 #include <vector>
 
+#include "api/address.h"
 #include "fordlb/balancer.h"
 
 namespace fordlb::node {
@@ -49,8 +50,7 @@
 // Nested JSON as the path=value lines that ParseSettings reads.
 std::string Flatten(const boost::json::value& settings);
 
-// "address:port", without names to resolve.
-std::optional<boost::asio::ip::tcp::endpoint> ParseAddress(std::string_view text);
+using badgerbridge::api::ParseAddress;
 
 }  // namespace fordlb::node
 
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "discovery.h"
+#include "node/discovery.h"
 
 #include <algorithm>
 #include <array>
@@ -66,29 +66,45 @@
 EndpointList ListReader::Read(const json::value& value) {
   const json::object& object = value.as_object();
   const auto index = object.at("index").to_number<std::uint64_t>();
-  EndpointList list;
-  list.snapshot = object.at("snapshot").as_bool();
+  const bool snapshot = object.at("snapshot").as_bool();
+  std::vector<Listed> listed;
   for (const json::value& item : object.at("endpoints").as_array()) {
     const json::object& fields = item.as_object();
-    Endpoint endpoint;
-    endpoint.entry.state = StateOf(TextAt(fields, "status"));
-    const json::value* where = fields.if_contains("address");
-    const auto address = ParseAddress(
-        where && where->is_string() ? std::string_view(where->get_string().data(), where->get_string().size())
-                                    : std::string_view());
-    if (!address && endpoint.entry.state != ServerState::kGone)
+    const auto text = [&](const char* key) {
+      const json::value* found = fields.if_contains(key);
+      return found && found->is_string() ? TextAt(fields, key) : std::string_view();
+    };
+    Listed one;
+    one.name = std::string(TextAt(fields, "name"));
+    one.state = StateOf(TextAt(fields, "status"));
+    one.address = ParseAddress(text("address"));
+    if (!one.address && one.state != ServerState::kGone)
       throw std::runtime_error("an endpoint without an address");
-    if (address) endpoint.address = *address;
-    endpoint.name = std::string(TextAt(fields, "name"));
-    endpoint.entry.server = IdOf(endpoint.name);
-    const json::value* zone = fields.if_contains("zone");
-    const json::value* kind = fields.if_contains("type");
-    endpoint.entry.zone = IndexOf(zones_, zone && zone->is_string() ? TextAt(fields, "zone") : "");
-    endpoint.entry.kind = IndexOf(kinds_, kind && kind->is_string() ? TextAt(fields, "type") : "");
-    endpoint.entry.cell = static_cast<int>(NumberAt(fields, "group", 0));
-    endpoint.entry.weight = NumberAt(fields, "weight", 1);
-    endpoint.entry.up_since = TimePoint(Duration(NumberAt(fields, "since_ms", 0)));  // see NodeClock
-    list.endpoints.push_back(endpoint);
+    one.zone = std::string(text("zone"));
+    one.kind = std::string(text("type"));
+    one.group = static_cast<int>(NumberAt(fields, "group", 0));
+    one.weight = NumberAt(fields, "weight", 1);
+    one.since_ms = NumberAt(fields, "since_ms", 0);
+    listed.push_back(std::move(one));
+  }
+  return Take(snapshot, index, listed);
+}
+
+EndpointList ListReader::Take(bool snapshot, std::uint64_t index, const std::vector<Listed>& listed) {
+  EndpointList list;
+  list.snapshot = snapshot;
+  for (const Listed& one : listed) {
+    Endpoint endpoint;
+    endpoint.name = one.name;
+    if (one.address) endpoint.address = *one.address;
+    endpoint.entry.state = one.state;
+    endpoint.entry.server = IdOf(one.name);
+    endpoint.entry.zone = IndexOf(zones_, one.zone);
+    endpoint.entry.kind = IndexOf(kinds_, one.kind);
+    endpoint.entry.cell = one.group;
+    endpoint.entry.weight = one.weight;
+    endpoint.entry.up_since = TimePoint(Duration(one.since_ms));  // see NodeClock
+    list.endpoints.push_back(std::move(endpoint));
   }
   index_ = index;
   Forget(list);
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -11,14 +11,15 @@
 #include <boost/json/value.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
-#include "config.h"
 #include "fordlb/balancer.h"
+#include "node/config.h"
 
 namespace fordlb::node {
 
@@ -32,6 +33,16 @@
   std::vector<Endpoint> endpoints;
 };
 
+// An endpoint as a list has it, by names.
+struct Listed {
+  std::string name, zone, kind;
+  std::optional<boost::asio::ip::tcp::endpoint> address;  // none: only of one that is gone
+  ServerState state = ServerState::kReady;
+  int group = 0;
+  double weight = 1;
+  double since_ms = 0;  // when it last started, Unix time
+};
+
 // Reads lists in discovery's form; keeps the id of each name and the version of the list.
 class ListReader {
  public:
@@ -39,7 +50,9 @@
 
   // Throws std::exception if it is no list; then nothing has changed.
   EndpointList Read(const boost::json::value& list);
+  EndpointList Take(bool snapshot, std::uint64_t index, const std::vector<Listed>& listed);
   std::uint64_t index() const { return index_; }
+  void NoChangeUpTo(std::uint64_t index) { index_ = index; }
   void Restart() { index_ = 0; }  // ask for everything again
   std::size_t known() const { return ids_.size(); }
   std::string NameOf(ServerId id) const;  // empty: it has left the list
--- a/src/node/proxy.cpp
+++ b/src/node/proxy.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "proxy.h"
+#include "node/proxy.h"
 
 #include <algorithm>
 #include <iostream>
--- a/src/node/proxy.h
+++ b/src/node/proxy.h
@@ -15,11 +15,11 @@
 #include <utility>
 #include <vector>
 
-#include "backend.h"
-#include "clock.h"
-#include "config.h"
-#include "discovery.h"
 #include "fordlb/balancer.h"
+#include "node/backend.h"
+#include "node/clock.h"
+#include "node/config.h"
+#include "node/discovery.h"
 
 namespace fordlb::node {
 
--- a/src/operator/operator_file.cpp
+++ b/src/operator/operator_file.cpp
@@ -1,9 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "operator/operator_file.h"
 
-#include <boost/asio/ip/address.hpp>
-#include <charconv>
-
+#include "api/address.h"
 #include "operator/table_reader.h"
 
 namespace badgerbridge::operator_file {
@@ -39,16 +37,8 @@
 }
 
 bool GoodAddress(const std::string& text) {
-  const std::size_t colon = text.rfind(':');
-  if (colon == std::string::npos) return false;
-  std::string host = text.substr(0, colon);
-  if (host.size() > 2 && host.front() == '[' && host.back() == ']') host = host.substr(1, host.size() - 2);
-  boost::system::error_code bad;
-  boost::asio::ip::make_address(host, bad);
-  unsigned port = 0;
-  const char* end = text.data() + text.size();
-  const auto [at, error] = std::from_chars(text.data() + colon + 1, end, port);
-  return !bad && error == std::errc() && at == end && port > 0 && port <= 65535;
+  const auto endpoint = api::ParseAddress(text);
+  return endpoint && endpoint->port() > 0;
 }
 
 Etcd ReadEtcd(TableReader& table) {
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // The codec against frames written out by hand.
-#include "codec.h"
+#include "drill/codec.h"
 
 #include <gtest/gtest.h>
 
--- /dev/null
+++ b/tests/membership/members_test.cpp
@@ -0,0 +1,191 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// badgerctl members, end to end: tool, agent and proxies as processes, a stand-in etcd.
+#include <gtest/gtest.h>
+
+#include <boost/json.hpp>
+#include <csignal>
+
+#include "membership/etcd_source.h"
+#include "membership/value.h"
+#include "standins/etcd.h"
+#include "standins/site.h"
+
+namespace badgerbridge::membership {
+namespace {
+
+namespace json = boost::json;
+using namespace standins;
+using std::chrono::milliseconds;
+
+const std::string kPrefix = "/badgerbridge/converters/";
+
+class MembersTest : public ::testing::Test {
+ protected:
+  MembersTest() {
+    SiteSettings settings;
+    settings.proxies = 2;
+    settings.converters = 3;
+    site = std::make_unique<Site>(io, settings);
+    etcd = std::make_unique<Etcd>(io, EtcdSettings{});
+    const auto at = etcd->address(0);
+    address = at.address().to_string() + ":" + std::to_string(at.port());
+    for (int i = 0; i < 2; ++i)
+      site->Write(site->Name(i) + ".toml", "[control]\nsocket = \"" + site->folder() + "/" + site->Name(i) +
+                                               ".sock\"\n[etcd]\nendpoints = [\"" + address + "\"]\n");
+    for (int i = 0; i < 3; ++i) Put(i);
+  }
+  void Start() {
+    site->StartAgent();
+    ASSERT_TRUE(site->Until([&] { return site->All("ready") && All("c-3", "ready"); }));
+  }
+  void Put(int i, const std::string& key = "") {
+    Member member;
+    member.name = "c-" + std::to_string(i + 1);
+    member.address = site->converters()[static_cast<std::size_t>(i)]->address();
+    member.zone = "a";
+    member.group = 1;
+    etcd->Put(kPrefix + (key.empty() ? member.name : key), ValueOf(member));
+  }
+  // What every proxy believes of one; "" if one of them does not know it.
+  std::string Believed(const std::string& instance, const std::string& name) {
+    const api::Reply reply = site->Call("GET", "/v1/instances/" + instance + "/members");
+    if (!reply.ok()) return reply.Why();
+    for (const json::value& member : reply.body.at("members").as_array()) {
+      if (member.at("name").as_string() == name)
+        return std::string(member.at("state").as_string()) + (member.at("held").as_bool() ? " held" : "");
+    }
+    return "";
+  }
+  bool All(const std::string& name, const std::string& state) {
+    return Believed("n1", name) == state && Believed("n2", name) == state;
+  }
+
+  boost::asio::io_context io{1};
+  std::unique_ptr<Site> site;
+  std::unique_ptr<Etcd> etcd;
+  std::string address;
+};
+
+TEST_F(MembersTest, ShowsTheLedgerAndWritesDrainsByCompareAndSwap) {
+  Start();
+  Put(0, "c-x");  // names another than its key
+  ASSERT_TRUE(site->Until([&] { return site->Ctl({"members", "n1"}).out.find("c-x") != std::string::npos; }));
+  CommandResult result = site->Ctl({"members"});
+  EXPECT_EQ(result.code, 0) << result.err;
+  for (const char* part :
+       {"INSTANCE", "n1", "n2", "c-1", "ready", "etcd: ready", "etcd (authority, current, revision",
+        "etcd is watching", "names \"c-1\", and not what its key does; the last good entry stays"})
+    EXPECT_NE(result.out.find(part), std::string::npos) << part << " in\n" << result.out;
+
+  // By its lease and all else that the value holds: kept.
+  pb::LeaseGrantRequest grant;
+  grant.set_ttl(600);
+  grant.set_id(42);
+  pb::LeaseGrantResponse lease;
+  ASSERT_TRUE(etcd->store().Grant(EtcdStore::Millis(EtcdSource::Now()), grant, &lease).ok());
+  pb::PutRequest bind;
+  bind.set_key(kPrefix + "c-2");
+  bind.set_ignore_value(true);
+  bind.set_lease(42);
+  pb::PutResponse bound;
+  ASSERT_TRUE(etcd->store().Put(bind, &bound).ok());
+  etcd->Publish();
+
+  const std::string file = site->folder() + "/n1.toml";
+  result = site->Ctl({"members", "drain", "c-2", "--operator", file, "--dry-run"});
+  EXPECT_EQ(result.code, 0) << result.err;
+  EXPECT_NE(result.out.find("would be written as draining"), std::string::npos) << result.out;
+  EXPECT_TRUE(All("c-2", "ready"));
+  etcd->Next(EtcdFault::kNoStatus);  // and made again
+  result = site->Ctl({"members", "drain", "c-2", "--operator", file});
+  EXPECT_EQ(result.code, 0) << result.err;
+  EXPECT_NE(result.out.find("written as draining at revision"), std::string::npos) << result.out;
+  ASSERT_TRUE(site->Until([&] { return All("c-2", "draining"); }));
+  pb::RangeRequest range;
+  range.set_key(kPrefix + "c-2");
+  pb::RangeResponse there;
+  ASSERT_TRUE(etcd->store().Range(range, &there).ok());
+  EXPECT_EQ(there.kvs(0).lease(), 42);
+  EXPECT_NE(there.kvs(0).value().find("\"zone\":\"a\""), std::string::npos);
+
+  result = site->Ctl({"members", "drain", "c-2", "c-none", "--etcd", address, "-o", "json"});
+  EXPECT_EQ(result.code, 1);
+  const json::value lines = json::parse(result.out);
+  EXPECT_EQ(lines.at(0).at("result").as_string(), "done") << "it is already";
+  EXPECT_EQ(lines.at(1).at("text").as_string(), "etcd has no key " + kPrefix + "c-none");
+  result = site->Ctl({"members", "undrain", "c-2", "--etcd", address});
+  EXPECT_EQ(result.code, 0) << result.err;
+  ASSERT_TRUE(site->Until([&] { return All("c-2", "ready"); }));
+
+  EXPECT_EQ(site->Ctl({"members", "drain", "c-2"}).code, 2) << "where etcd is was not said";
+  EXPECT_EQ(site->Ctl({"members", "drain", "c-2", "--etcd", "nowhere"}).code, 2);
+  EXPECT_EQ(site->Ctl({"members", "drain", "c-2", "--operator", site->folder() + "/fleet.toml"}).code, 2);
+  etcd->Down(0);
+  result = site->Ctl({"members", "drain", "c-2", "--etcd", address, "--timeout", "300ms"});
+  EXPECT_EQ(result.code, 5) << result.out;
+  EXPECT_EQ(etcd->protocol_errors(), 0u);
+}
+
+TEST_F(MembersTest, AMassDepartureIsHeldAndLetGoByHand) {
+  Start();
+  for (const char* name : {"c-1", "c-2", "c-3"}) etcd->Delete(kPrefix + name);
+  ASSERT_TRUE(site->Until([&] { return All("c-1", "ready held") || All("c-3", "ready held"); }));
+  CommandResult result = site->Ctl({"members", "n1"});
+  EXPECT_NE(result.out.find("HELD; if they have really left: badgerctl members release n1"),
+            std::string::npos)
+      << result.out;
+  EXPECT_EQ(site->Ctl({"members", "release"}).code, 2) << "it must be said whose";
+  result = site->Ctl({"members", "release", "n1"});
+  EXPECT_EQ(result.code, 0) << result.err;
+  EXPECT_NE(result.out.find("converters let go"), std::string::npos) << result.out;
+  EXPECT_EQ(Believed("n1", "c-3"), "");
+  EXPECT_EQ(Believed("n2", "c-3"), "ready held") << "each proxy by itself";
+  EXPECT_NE(site->Read("state/audit.log").find("/v1/members/release"), std::string::npos);
+  result = site->Ctl({"members", "release", "--all", "-o", "json"});
+  EXPECT_EQ(result.code, 0);
+  EXPECT_EQ(Believed("n2", "c-3"), "");
+}
+
+TEST_F(MembersTest, ARegistrationLastsAsLongAsItsCommand) {
+  Start();
+  const auto command =
+      site->BeginCtl({"members", "register", "c-9", "--etcd", address, "--address", "127.0.0.1:9", "--zone",
+                      "b", "--group", "1", "--ttl", "2s", "--drain-for", "1s"});
+  ASSERT_TRUE(site->Until([&] { return All("c-9", "ready"); }));
+  // A drain by hand stays, over several renewals of the lease.
+  EXPECT_EQ(site->Ctl({"members", "drain", "c-9", "--etcd", address}).code, 0);
+  site->For(milliseconds(2500));
+  EXPECT_TRUE(All("c-9", "draining"));
+  EXPECT_EQ(site->Ctl({"members", "undrain", "c-9", "--etcd", address}).code, 0);
+  ASSERT_TRUE(site->Until([&] { return All("c-9", "ready"); }));
+  site->Signal(command, SIGTERM);
+  ASSERT_TRUE(site->Until([&] { return All("c-9", "draining"); })) << "first it says that it drains";
+  ASSERT_TRUE(site->Until([&] { return All("c-9", ""); }));
+  const CommandResult result = site->Finish(command);
+  EXPECT_EQ(result.code, 0) << result.err;
+  EXPECT_NE(result.err.find("c-9 is registered, lease"), std::string::npos) << result.err;
+  EXPECT_EQ(site->Ctl({"members", "register", "c-9", "--etcd", address, "--address", "nowhere"}).code, 2);
+}
+
+TEST_F(MembersTest, WithoutATableThereIsNoLedgerAndOneThatIsDownIsSaid) {
+  site->Write("n2.toml", "[control]\nsocket = \"" + site->folder() + "/n2.sock\"\n");
+  site->StartAgent();
+  ASSERT_TRUE(site->Until([&] { return site->All("ready"); }));
+  CommandResult result = site->Ctl({"members", "n2"});
+  EXPECT_EQ(result.code, 1);
+  EXPECT_NE(result.err.find("no ledger here: the operator's file has no [etcd] table"), std::string::npos);
+  EXPECT_EQ(site->Ctl({"members", "release", "n2"}).code, 1);
+  EXPECT_EQ(site->Ctl({"stop", "n1"}).code, 0);
+  result = site->Ctl({"members", "n1"});
+  EXPECT_EQ(result.code, 1);
+  EXPECT_NE(result.err.find("the instance n1 does not run"), std::string::npos) << result.err;
+  site->KillAgent(SIGKILL);
+  result = site->Ctl({"members"});
+  EXPECT_EQ(result.code, 5);
+  EXPECT_EQ(result.out, "");
+  EXPECT_EQ(site->Ctl({"status"}).out, "") << "no table where nobody answers";
+}
+
+}  // namespace
+}  // namespace badgerbridge::membership
--- a/tests/node_harness.h
+++ b/tests/node_harness.h
@@ -19,11 +19,11 @@
 #include <utility>
 #include <vector>
 
-#include "backend.h"
-#include "client.h"
-#include "clock.h"
-#include "config.h"
-#include "proxy.h"
+#include "node/backend.h"
+#include "node/client.h"
+#include "node/clock.h"
+#include "node/config.h"
+#include "node/proxy.h"
 
 namespace fordlb::node::testing {
 
--- a/tests/standins/clients.cpp
+++ b/tests/standins/clients.cpp
@@ -188,6 +188,8 @@
       ++account_.lost, ++each_[proxy].lost;
       co_return;
     }
+    if (on_answer_)
+      on_answer_(std::chrono::duration<double, std::milli>(Clock::now() - (due - load_.deadline)).count());
     const unsigned status = parser.get().result_int();
     const auto count = [&](std::uint64_t Account::*which) { ++(account_.*which), ++(each_[proxy].*which); };
     if (status == 200) {
--- a/tests/standins/clients.h
+++ b/tests/standins/clients.h
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -54,6 +55,8 @@
   const Account& account(std::size_t proxy) const { return each_[proxy]; }
   // Requests whose client holds an answer 200.
   const std::set<std::string>& served_ids() const { return served_ids_; }
+  // Called for each answer, with the time that it took from the first byte of its request.
+  void OnAnswer(std::function<void(double ms)> told) { on_answer_ = std::move(told); }
   // The front leaves this proxy out, whatever it says of itself.
   void Avoid(std::size_t proxy, bool avoid) { avoided_[proxy] = avoid; }
 
@@ -75,6 +78,7 @@
   Account account_;
   std::vector<Account> each_;
   std::set<std::string> served_ids_;
+  std::function<void(double)> on_answer_;
   std::size_t out_ = 0, next_ = 0;
   std::uint64_t number_ = 0, turn_ = 0;
   bool running_ = false;
--- a/tests/standins/site.cpp
+++ b/tests/standins/site.cpp
@@ -220,6 +220,8 @@
   return command;
 }
 
+void Site::Signal(const std::shared_ptr<Background>& command, int number) { kill(command->pid, number); }
+
 CommandResult Site::Finish(const std::shared_ptr<Background>& command, milliseconds most) {
   CommandResult result;
   int status = 0;
--- a/tests/standins/site.h
+++ b/tests/standins/site.h
@@ -64,6 +64,7 @@
   // Begins one, to be awaited by Finish.
   struct Background;
   std::shared_ptr<Background> BeginCtl(std::vector<std::string> arguments);
+  void Signal(const std::shared_ptr<Background>& command, int number);
   CommandResult Finish(const std::shared_ptr<Background>& command,
                        std::chrono::milliseconds most = std::chrono::seconds(60));
 
