Have a list change cost the module what it changes, not what the list holds

The ring stays in order, and servers are put on it and taken off it one by one (longer lists are sorted once); those that are cold and those that have gone are listed by themselves. The window of sent work is a vector that starts empty.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -70,6 +70,7 @@
 constexpr Duration kLogGap{1000};        // log lines of ejections and returns no closer than this
 constexpr Duration kLongLogGap{10000};   // others
 constexpr Duration kForgetAfter{60000};  // a server gone for this long loses its state
+constexpr std::size_t kFewEntries = 32;  // of a list: more are put in order all at once
 
 constexpr TimePoint kNever{Duration(1e300)};
 
@@ -160,7 +161,8 @@
 };
 
 // ---- 4. Cold-start budget (its state; the pick below asks it) -----------------------------------------
-// Work this proxy sent to one server within the rule's window. Everything sent counts.
+// Work this proxy sent to one server within the rule's window. Everything sent counts. Of thousands of
+// servers most are sent nothing, and hold no memory for it.
 class SentWindow {
  public:
   void Add(TimePoint now, double work) {
@@ -168,9 +170,11 @@
     sum_ += work;
   }
   double Within(TimePoint now, Duration window) {
-    while (!sent_.empty() && now - sent_.front().first > window) {
-      sum_ -= sent_.front().second;
-      sent_.pop_front();
+    for (; first_ < sent_.size() && now - sent_[first_].first > window; ++first_)
+      sum_ -= sent_[first_].second;
+    if (2 * first_ >= sent_.size()) {
+      sent_.erase(sent_.begin(), sent_.begin() + static_cast<std::ptrdiff_t>(std::exchange(first_, 0)));
+      if (sent_.empty()) sent_.shrink_to_fit();
     }
     return sent_.empty() ? sum_ = 0 : sum_;
   }
@@ -181,7 +185,8 @@
   }
 
  private:
-  std::deque<std::pair<TimePoint, double>> sent_;
+  std::vector<std::pair<TimePoint, double>> sent_;
+  std::size_t first_ = 0;  // those before it are no longer within
   double sum_ = 0;
 };
 
@@ -200,6 +205,7 @@
   TimePoint paced_start{};  // the start for which the moment of its first request was drawn
   bool silent = false;      // the last that it owed ran out of time, and nothing was heard since
   bool active = false;      // it is in active_
+  bool on_ring = false;
   std::uint64_t place = 0;  // on the ring
 
   void NoteAnswered(TimePoint sent) {
@@ -310,21 +316,26 @@
   // places evenly spaced on a ring of servers, a ring for each group of them, so that every server is in as
   // many apertures, and those who share one server share no other. Servers that are ejected or cold are made
   // up for by the next.
-  void OrderFleet() {
-    ring_.clear();
-    const std::uint64_t group_size =
-        static_cast<std::uint64_t>(std::ceil(std::sqrt(static_cast<double>(settings_.balancers))));
-    const std::uint64_t me = static_cast<std::uint64_t>(settings_.me);
-    for (auto& [id, s] : servers_) {
-      if (!Usable(s)) continue;
-      s.place = Mix(id ^ Mix(me / group_size + 1));
-      ring_.push_back(&s);
-    }
-    std::sort(ring_.begin(), ring_.end(), [](const Server* a, const Server* b) {
-      return std::pair(a->place, a->entry.server) < std::pair(b->place, b->entry.server);
-    });
-    const std::size_t start = (me % group_size) * ring_.size() / group_size;
-    std::rotate(ring_.begin(), ring_.begin() + static_cast<std::ptrdiff_t>(start), ring_.end());
+  std::uint64_t GroupSize() const {
+    return static_cast<std::uint64_t>(std::ceil(std::sqrt(static_cast<double>(settings_.balancers))));
+  }
+  std::uint64_t Me() const { return static_cast<std::uint64_t>(settings_.me); }
+  std::size_t RingStart() const { return (Me() % GroupSize()) * ring_.size() / GroupSize(); }
+
+  static bool Before(const Server* a, const Server* b) {
+    return std::pair(a->place, a->entry.server) < std::pair(b->place, b->entry.server);
+  }
+
+  // Takes a server onto the ring or off it, as its state says; the rest stays where it is.
+  void PlaceOnRing(Server& s) {
+    if (Usable(s) == s.on_ring) return;
+    s.on_ring = Usable(s);
+    const auto at = std::lower_bound(ring_.begin(), ring_.end(), &s, Before);
+    if (s.on_ring) {
+      ring_.insert(at, &s);
+    } else {
+      ring_.erase(at);
+    }
   }
 
   double Aperture() const {
@@ -368,7 +379,8 @@
   Server* Pick(const Request& r, const Permission& permission) {
     Choice choice;
     double warm = 0;
-    for (Server* s : ring_) {
+    for (std::size_t i = 0, at = RingStart(); i < ring_.size(); ++i, ++at) {
+      Server* s = ring_[at < ring_.size() ? at : at -= ring_.size()];
       if (permission.group_of && !InGroup(r, *permission.group_of, *s)) continue;
       if (FitsColdBudget(*s, r.work)) {
         Consider(r, *s, &choice);
@@ -829,31 +841,58 @@
   void On(const ListUpdate& e) {
     if (settings_.must_ask_for_list) FollowUp(e.kind);
     if (e.kind == ListKind::kFailed) return;
+    const bool many = e.entries.size() > kFewEntries;
+    if (many) ring_.clear();
     if (e.kind != ListKind::kDelta) {
       std::set<ServerId> listed;
       for (const ServerEntry& entry : e.entries) listed.insert(entry.server);
       for (auto& [id, s] : servers_) {
-        if (!listed.count(id)) SetState(s, ServerState::kGone);
+        if (!listed.count(id)) SetState(s, ServerState::kGone, !many);
       }
     }
     for (const ServerEntry& entry : e.entries) {
       const auto [it, added] = servers_.try_emplace(entry.server);
-      const ServerState before = it->second.entry.state;
-      it->second.entry = entry;
-      it->second.entry.state = before;
-      SetState(it->second, entry.state);
-    }
-    std::erase_if(servers_, [this](const auto& entry) {
-      const Server& s = entry.second;
-      return s.entry.state == ServerState::kGone && !s.active && now_ - s.gone_since > kForgetAfter;
-    });
-    CountFleet();
+      Server& s = it->second;
+      if (added) s.place = Mix(entry.server ^ Mix(Me() / GroupSize() + 1));
+      const ServerState before = s.entry.state;
+      s.entry = entry;
+      s.entry.state = before;
+      SetState(s, entry.state, !many);
+      if (Usable(s) && WarmShare(s) < 1) warming_.insert(entry.server);
+    }
+    if (many) {  // in order at once
+      for (auto& [id, s] : servers_) {
+        s.on_ring = Usable(s);
+        if (s.on_ring) ring_.push_back(&s);
+      }
+      std::sort(ring_.begin(), ring_.end(), Before);
+    }
+    ForgetGone();
+    CountWarmth();
     room_ = true;
   }
 
-  void SetState(Server& s, ServerState state) {
-    if (state == ServerState::kGone && s.entry.state != state) s.gone_since = now_;
+  void SetState(Server& s, ServerState state, bool place) {
+    if (state == ServerState::kGone && s.entry.state != state) {
+      s.gone_since = now_;
+      gone_.push_back(s.entry.server);
+    }
     s.entry.state = state;
+    if (place) PlaceOnRing(s);
+  }
+
+  // The longest gone first; one that has come back, or is still active, is looked at again when it is due
+  // next.
+  void ForgetGone() {
+    for (std::size_t left = gone_.size(); left > 0; --left) {
+      const ServerId id = gone_.front();
+      const auto found = servers_.find(id);
+      const bool gone = found != servers_.end() && found->second.entry.state == ServerState::kGone;
+      if (gone && now_ - found->second.gone_since <= kForgetAfter) break;
+      gone_.pop_front();
+      if (gone && found->second.active) gone_.push_back(id);
+      if (gone && !found->second.active) servers_.erase(found);
+    }
   }
 
   void FollowUp(ListKind kind) {
@@ -906,18 +945,18 @@
     }
   }
 
-  void CountFleet() {
-    OrderFleet();
-    usable_ = 0;
-    warm_servers_ = 0;
-    warming_ = false;
-    for (const auto& [id, s] : servers_) {
-      if (!Usable(s)) continue;
-      const double share = WarmShare(s);
-      ++usable_;
-      warm_servers_ += share;
-      warming_ |= share < 1;
-    }
+  // How many warm servers' worth those on the ring are. Only those that were cold when they were listed
+  // change.
+  void CountWarmth() {
+    usable_ = ring_.size();
+    double shares = 0;
+    std::erase_if(warming_, [&](ServerId id) {
+      const auto found = servers_.find(id);
+      const double share = found == servers_.end() || !Usable(found->second) ? 1 : WarmShare(found->second);
+      if (share < 1) shares += share;
+      return share >= 1;
+    });
+    warm_servers_ = static_cast<double>(usable_ - warming_.size()) + shares;
   }
 
   void Sample() {
@@ -932,7 +971,7 @@
       s->active = !s->Idle();
     }
     std::erase_if(active_, [](const Server* s) { return !s->active; });
-    if (warming_) CountFleet();
+    if (!warming_.empty()) CountWarmth();
     if (sampled_at_ != TimePoint{} && elapsed > 0) {
       // A new proxy starts from little and trusts its first samples: one that floods the fleet at its start
       // leaves queues that take far longer to drain than the start took.
@@ -972,12 +1011,13 @@
   TimePoint now_{};
   std::vector<Action>* out_ = nullptr;
   std::map<ServerId, Server> servers_;
-  std::vector<Server*> ring_;           // those that take work, from this proxy's place on the ring onwards
+  std::vector<Server*> ring_;           // those that take work, by place
+  std::set<ServerId> warming_;          // those of them that are cold
+  std::deque<ServerId> gone_;           // in the order in which they went
   double arrived_ = 0, send_rate_ = 0;  // requests since the last sample; a ms
   std::vector<Server*> active_;  // those this proxy has dealt with lately; work per event is theirs alone
   std::size_t usable_ = 0;       // servers on the list that take work
   double warm_servers_ = 0;      // their shares of a warm server's capacity, summed
-  bool warming_ = false;         // one of them is still cold
   std::map<RequestId, Request> requests_;
   std::set<std::tuple<double, Duration, RequestId>> held_;
   std::set<std::pair<TimePoint, RequestId>> wakeups_;
