--- a/src/node/backend.cpp
+++ b/src/node/backend.cpp
@@ -328,7 +328,7 @@
     std::unordered_set<ServerId> listed;
     for (const Endpoint& endpoint : list.endpoints) listed.insert(endpoint.entry.server);
     for (auto& [id, backend] : backends_) {
-      if (!listed.count(id)) SetState(backend, ServerState::kGone);
+      if (!listed.count(id)) SetState(id, backend, ServerState::kGone);
     }
   }
   for (const Endpoint& endpoint : list.endpoints) {
@@ -338,18 +338,23 @@
       CloseIdle(backend);
       backend.address = endpoint.address;
     }
-    SetState(backend, endpoint.entry.state);
+    SetState(endpoint.entry.server, backend, endpoint.entry.state);
   }
   // One that is gone, and past its grace, can be sent nothing more: nothing of it is needed. Attempts that
-  // are still out carry what they need.
-  std::erase_if(backends_, [this](const auto& entry) {
-    return entry.second.state == ServerState::kGone &&
-           clock_.Now() - entry.second.told_at >= limits_.drain_grace * kDrainShare;
-  });
+  // are still out carry what they need. In the order in which they went, so that a change looks at no others.
+  const TimePoint now = clock_.Now();
+  while (!gone_.empty() && now - gone_.front().second >= limits_.drain_grace * kDrainShare) {
+    const auto found = backends_.find(gone_.front().first);
+    gone_.pop_front();
+    if (found != backends_.end() && found->second.state == ServerState::kGone &&
+        now - found->second.told_at >= limits_.drain_grace * kDrainShare)
+      backends_.erase(found);
+  }
 }
 
 // One that was never ready here was told of before this node's time.
-void Backends::SetState(Backend& backend, ServerState state) {
+void Backends::SetState(ServerId server, Backend& backend, ServerState state) {
+  if (state == ServerState::kGone && backend.state != state) gone_.emplace_back(server, clock_.Now());
   if (state != ServerState::kReady) {
     if (backend.state == ServerState::kReady) backend.told_at = clock_.Now();
     CloseIdle(backend);
--- a/src/node/backend.h
+++ b/src/node/backend.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/verb.hpp>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -75,7 +76,7 @@
     std::vector<std::shared_ptr<Connection>> idle;  // the newest last
   };
 
-  void SetState(Backend& backend, ServerState state);
+  void SetState(ServerId server, Backend& backend, ServerState state);
   void CloseIdle(Backend& backend);
   void CloseUntested(ServerId server, TimePoint since);
   std::shared_ptr<Connection> TakeIdle(Backend& backend);
@@ -89,6 +90,7 @@
   const NodeClock& clock_;
   Limits limits_;
   std::unordered_map<ServerId, Backend> backends_;
+  std::deque<std::pair<ServerId, TimePoint>> gone_;  // and since when, the longest first
   std::size_t open_ = 0;
   std::uint64_t attempts_ = 0;
 };
