Mend what a hard look found: full backlogs, JSON errors, the completion; test hard cases

With 500 silent connections at an agent's Unix socket badgerctl ended at once: a connect on a full backlog returns EAGAIN, which Asio takes for a connection under way. It is tried again within the call's time now, and silent ones at a Unix socket make room after 20 ms instead of 250. Bad JSON was answered with the path of a library's source; now what is wrong and at which byte. The bash completion had a syntax error since it was formatted, and no test had run it.

Tested that nothing had made happen: half a request at the agent's socket, a stranger on an instance's control socket, a compaction while the agent runs (and its restart from it), colours, NO_COLOR and progress on a terminal, the completion in a shell, scripts/packages without rights. 8 tests.

--- a/src/api/message.cpp
+++ b/src/api/message.cpp
@@ -32,4 +32,25 @@
   return error == std::errc() && at == end && value >= 0 && value <= most ? value : otherwise;
 }
 
+std::optional<boost::json::object> ReadObject(const Request& request, std::string* why) {
+  boost::json::stream_parser parser;
+  boost::system::error_code error;
+  const std::size_t taken = parser.write_some(request.body, error);
+  if (!error && taken < request.body.size()) {
+    *why = "the body has more after its JSON, from byte " + std::to_string(taken) + " on";
+    return std::nullopt;
+  }
+  if (!error) parser.finish(error);
+  if (error) {
+    *why = "the body is no JSON: " + error.message() + " at byte " + std::to_string(taken);
+    return std::nullopt;
+  }
+  boost::json::value value = parser.release();
+  if (!value.is_object()) {
+    *why = "the body is no JSON object";
+    return std::nullopt;
+  }
+  return std::move(value.get_object());
+}
+
 }  // namespace badgerbridge::api
--- a/src/api/message.h
+++ b/src/api/message.h
@@ -4,6 +4,7 @@
 #ifndef BADGERBRIDGE_API_MESSAGE_H_
 #define BADGERBRIDGE_API_MESSAGE_H_
 
+#include <boost/json/object.hpp>
 #include <boost/json/value.hpp>
 #include <chrono>
 #include <cstdint>
@@ -38,6 +39,10 @@
 // {"error": text}
 Response Error(unsigned status, std::string_view text);
 
+// The body as a JSON object (RFC 8259); nothing if it is none, and *why is one line that says what is wrong,
+// and where.
+std::optional<boost::json::object> ReadObject(const Request& request, std::string* why);
+
 // The query's value as a whole number from 0 to `most`; `otherwise` if absent or not such a number.
 std::int64_t QueryNumber(const Request& request, const std::string& name, std::int64_t otherwise,
                          std::int64_t most);
--- a/src/api/serve.h
+++ b/src/api/serve.h
@@ -32,14 +32,12 @@
 };
 using Connections = std::list<std::shared_ptr<Connection>>;
 
-constexpr std::chrono::milliseconds kYoung{250};  // no connection makes room sooner than this
-
 // False if all are busy or young.
-inline bool MakeRoom(Connections& connections) {
+inline bool MakeRoom(Connections& connections, std::chrono::milliseconds young) {
   const auto now = std::chrono::steady_clock::now();
   for (const bool asked : {false, true}) {
     const auto found = std::find_if(connections.begin(), connections.end(), [&](const auto& c) {
-      return c->asked == asked && !c->busy && now - c->since >= kYoung;
+      return c->asked == asked && !c->busy && now - c->since >= young;
     });
     if (found == connections.end()) continue;
     const auto connection = *found;
--- a/src/api/server.h
+++ b/src/api/server.h
@@ -28,6 +28,9 @@
   std::size_t header = 8 << 10, body = 64 << 10;    // bytes
   std::chrono::milliseconds request_timeout{2000};  // to be whole; the answer, to be read
   std::chrono::milliseconds idle_timeout{30000};
+  // No connection makes room for another sooner than this: long enough for its request to come. Servers on
+  // Unix sockets, whose clients' first bytes are there at once, take less.
+  std::chrono::milliseconds young{250};
 };
 
 // A Unix domain socket of mode 0600. A peer's uid (SO_PEERCRED, unix(7)) must be this process's own, root's
--- a/src/api/tls_server.cpp
+++ b/src/api/tls_server.cpp
@@ -54,7 +54,7 @@
 
   void Accept() {
     if (closed) return;
-    if (connections.size() >= limits.connections && !detail::MakeRoom(connections))
+    if (connections.size() >= limits.connections && !detail::MakeRoom(connections, limits.young))
       return AcceptAfter(kRoomPause);
     acceptor.async_accept([self = shared_from_this()](ErrorCode error, tcp::socket socket) {
       if (self->closed || error == asio::error::operation_aborted) return;
--- a/src/api/unix_client.cpp
+++ b/src/api/unix_client.cpp
@@ -1,6 +1,10 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <sys/socket.h>
+
 #include <boost/asio/local/stream_protocol.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
+#include <cerrno>
 
 #include "api/client.h"
 #include "api/exchange.h"
@@ -9,6 +13,8 @@
 
 namespace asio = boost::asio;
 
+constexpr std::chrono::milliseconds kBacklogPause{10};
+
 std::string Reply::Why() const {
   if (!error.empty()) return error;
   if (const boost::json::object* object = body.if_object()) {
@@ -30,13 +36,31 @@
     reply.error = "the socket's path is too long";
     co_return reply;
   }
-  stream.expires_after(timeout);
+  const auto due = std::chrono::steady_clock::now() + timeout;
   const Local::endpoint endpoint(path);
-  co_await stream.async_connect(endpoint, token);
+  stream.socket().open(Local(), error);
+  if (!error) stream.socket().non_blocking(true, error);
+  // Not by async_connect: EAGAIN here says that the server's backlog is full (unix(7)), not that a connection
+  // is under way. It is tried again, within the time.
+  while (!error) {
+    if (::connect(stream.socket().native_handle(), endpoint.data(),
+                  static_cast<socklen_t>(endpoint.size())) == 0)
+      break;
+    if (errno == EINTR) continue;
+    if (errno != EAGAIN) {
+      error.assign(errno, boost::system::system_category());
+    } else if (std::chrono::steady_clock::now() + kBacklogPause >= due) {
+      error = boost::beast::error::timeout;
+    } else {
+      asio::steady_timer pause(executor, kBacklogPause);
+      co_await pause.async_wait(token);
+    }
+  }
   if (error) {
     reply.error = detail::Words(error, timeout);
     co_return reply;
   }
+  stream.expires_at(due);
   reply = co_await detail::Exchange(stream, std::move(method), std::move(target), std::move(body), timeout);
   co_return reply;
 }
--- a/src/api/unix_server.cpp
+++ b/src/api/unix_server.cpp
@@ -20,7 +20,7 @@
 using Local = asio::local::stream_protocol;
 using ErrorCode = boost::system::error_code;
 
-constexpr std::chrono::milliseconds kRoomPause{25}, kAcceptPause{50};
+constexpr std::chrono::milliseconds kRoomPause{5}, kAcceptPause{50}, kUnixYoung{20};
 
 // Somebody answers on the socket at this path.
 bool Answers(asio::io_context& io, const std::string& path) {
@@ -82,7 +82,8 @@
 
   void Accept() {
     if (closed) return;
-    if (connections.size() >= limits.connections && !detail::MakeRoom(connections))
+    if (connections.size() >= limits.connections &&
+        !detail::MakeRoom(connections, std::min(limits.young, kUnixYoung)))
       return AcceptAfter(kRoomPause);
     acceptor.async_accept([self = shared_from_this()](ErrorCode error, Local::socket socket) {
       if (self->closed || error == asio::error::operation_aborted) return;
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -90,10 +90,10 @@
 api::Response Control::Drain(const api::Request& request) {
   std::optional<Duration> deadline;
   if (!request.body.empty()) {
-    boost::system::error_code error;
-    const json::value body = json::parse(request.body, error);
-    if (error || !body.is_object()) return api::Error(400, "the body is no JSON object");
-    for (const auto& [key, value] : body.get_object()) {
+    std::string why;
+    const auto body = api::ReadObject(request, &why);
+    if (!body) return api::Error(400, why);
+    for (const auto& [key, value] : *body) {
       const double ms = value.is_number() ? value.to_number<double>() : -1;
       if (key != "deadline_ms")
         return api::Error(400, "unknown member " + std::string(key) + "; deadline_ms is known");
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -644,6 +644,7 @@
   return code;
 }
 
+// clang-format off
 const char kBashCompletion[] =
     R"bash(# bash completion for badgerctl; source it, or put it where bash-completion looks
 _badgerctl() {
@@ -665,11 +666,11 @@
           check completion" -- "$cur")) ;;
     apply|diff|check) COMPREPLY=($(compgen -f -- "$cur")) ;;
     completion) COMPREPLY=($(compgen -W "bash" -- "$cur")) ;;
-    *) COMPREPLY=($(compgen -W "$(badgerctl status -o names --timeout 1s 2>/dev/null)" -- "$cur")) ;
-;
-esac
+    *) COMPREPLY=($(compgen -W "$(badgerctl status -o names --timeout 1s 2>/dev/null)" -- "$cur")) ;;
+  esac
 }
 complete -F _badgerctl badgerctl
 )bash";
+// clang-format on
 
 }  // namespace badgerbridge::ctl
--- a/src/fleet/agent.cpp
+++ b/src/fleet/agent.cpp
@@ -820,9 +820,10 @@
 
 api::Response Agent::PostOrder(const api::Request& request, const api::Peer& peer) {
   try {
-    const json::value body = json::parse(request.body);
-    if (!body.is_object()) return api::Error(400, "the body is no JSON object");
-    Members members(body.get_object());
+    std::string why;
+    const auto body = api::ReadObject(request, &why);
+    if (!body) return api::Error(400, why);
+    Members members(*body);
     Order order = CommonOrder(members, peer);
     const auto verb = ParseVerb(members.Text("verb").value_or(""));
     if (!verb || *verb == Verb::kApply)
@@ -839,9 +840,10 @@
 
 api::Response Agent::PostFleet(const api::Request& request, const api::Peer& peer, bool apply) {
   try {
-    const json::value body = json::parse(request.body);
-    if (!body.is_object()) return api::Error(400, "the body is no JSON object");
-    Members members(body.get_object());
+    std::string why;
+    const auto body = api::ReadObject(request, &why);
+    if (!body) return api::Error(400, why);
+    Members members(*body);
     Order order = CommonOrder(members, peer);
     order.verb = Verb::kApply;
     const std::string text = members.Text("fleet").value_or("");
--- /dev/null
+++ b/tests/fleet/hard_cases_test.cpp
@@ -0,0 +1,233 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// What peers, terminals, shells and time do to agent and tool: silent and half connections at Unix sockets, a
+// stranger on an instance's control socket, a state that outgrows its bound, colours, the completion, missing
+// rights.
+#include <gtest/gtest.h>
+#include <pty.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/local/stream_protocol.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/json.hpp>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "api/server.h"
+#include "standins/site.h"
+
+namespace badgerbridge::fleet {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using namespace standins;
+using Local = asio::local::stream_protocol;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class HardCasesTest : public ::testing::Test {
+ protected:
+  void Start(int proxies, const std::string& agent_extra = "") {
+    SiteSettings settings;
+    settings.proxies = proxies;
+    settings.converters = 2;
+    settings.agent_extra = agent_extra;
+    site = std::make_unique<Site>(io, settings);
+    site->StartAgent();
+    ASSERT_TRUE(site->Until([&] { return site->All("ready"); })) << site->Read("agent.err");
+  }
+  // Connections that say nothing: as many as the server's backlog takes.
+  std::vector<Local::socket> Silent(const std::string& path, int count) {
+    std::vector<Local::socket> sockets;
+    for (int i = 0; i < count; ++i) {
+      Local::socket socket(io);
+      socket.open();
+      socket.non_blocking(true);
+      const Local::endpoint endpoint(path);
+      if (::connect(socket.native_handle(), endpoint.data(), static_cast<socklen_t>(endpoint.size())) == 0)
+        sockets.push_back(std::move(socket));
+    }
+    return sockets;
+  }
+
+  asio::io_context io{1};
+  std::unique_ptr<Site> site;
+};
+
+TEST_F(HardCasesTest, FiveHundredSilentConnectionsDelayAnOperatorAndNoMore) {
+  Start(1);
+  for (const std::string& path : {site->folder() + "/agent.sock", site->folder() + "/n1.sock"}) {
+    const auto silent = Silent(path, 500);
+    EXPECT_GT(silent.size(), 60u) << "the backlog is full: the tool's connect meets EAGAIN";
+    const CommandResult result = site->Ctl({"get", "n1"});
+    EXPECT_EQ(result.code, 0) << path << ": " << result.err;
+    EXPECT_LT(result.took, seconds(5)) << path;
+    EXPECT_EQ(result.out.find("converters: "), std::string::npos) << result.out;
+    EXPECT_EQ(result.out.find("E0"), std::string::npos) << "numbers as people write them:\n" << result.out;
+  }
+  // One that is not there at all is said at once.
+  site->KillAgent(SIGKILL);
+  const CommandResult result = site->Ctl({"status"});
+  EXPECT_EQ(result.code, 5);
+  EXPECT_EQ(result.out, "") << "no empty table";
+}
+
+TEST_F(HardCasesTest, HalfARequestAtTheAgentsSocketChangesNothingAndEndsByItsTime) {
+  Start(1);
+  Local::socket half(io);
+  half.connect(Local::endpoint(site->folder() + "/agent.sock"));
+  asio::write(half,
+              asio::buffer(std::string("POST /v1/orders HTTP/1.1\r\nHost: x\r\nContent-Length: 90\r\n\r\n"
+                                       R"({"id":"half","verb":"stop","inst)")));
+  EXPECT_EQ(site->Ctl({"status"}).code, 0) << "others are served meanwhile";
+  bool ended = false;
+  char piece = 0;
+  half.async_read_some(asio::buffer(&piece, 1),
+                       [&](boost::system::error_code error, std::size_t) { ended = !!error; });
+  ASSERT_TRUE(site->Until([&] { return ended; })) << "its time has an end";
+  EXPECT_EQ(site->StateOf("n1"), "ready");
+  EXPECT_EQ(site->Call("GET", "/v1/orders/half").status, 404u);
+}
+
+TEST_F(HardCasesTest, BadJsonIsOneLineThatSaysWhere) {
+  Start(1);
+  for (const auto& [body, says] :
+       {std::pair(R"({"verb":})", "the body is no JSON: syntax error at byte 8"),
+        std::pair("{} {}", "the body has more after its JSON, from byte 3 on"),
+        std::pair(R"({"verb":"dra)", "the body is no JSON: incomplete JSON at byte 12"),
+        std::pair("[1]", "the body is no JSON object")}) {
+    const api::Reply reply = site->Call("POST", "/v1/orders", body);
+    EXPECT_EQ(reply.status, 400u);
+    EXPECT_EQ(reply.Why(), says) << body;
+  }
+}
+
+TEST_F(HardCasesTest, AStrangerOnAnInstancesControlSocketIsNotTakenForIt) {
+  Start(2);
+  const std::string path = site->folder() + "/n1.sock";
+  unlink(path.c_str());
+  api::UnixServer stranger(io, path, {}, {}, [](api::Request, api::Peer) -> asio::awaitable<api::Response> {
+    co_return api::Response{200, json::object{{"state", "drained"}, {"pid", 1}}};
+  });
+  ASSERT_TRUE(site->Until([&] { return site->StateOf("n1") == "silent"; }));
+  const CommandResult status = site->Ctl({"status"});
+  EXPECT_NE(status.out.find("another process answers on its socket"), std::string::npos) << status.out;
+  // An order to it does not believe the stranger's "drained".
+  const CommandResult drain = site->Ctl({"drain", "n1", "n2", "--deadline", "3s"});
+  EXPECT_EQ(drain.code, 1) << drain.out;
+  EXPECT_EQ(site->StateOf("n2"), "drained") << "and the other does as told";
+}
+
+TEST_F(HardCasesTest, TheStateIsCompactedWhileTheAgentRunsAndReadBackWhole) {
+  Start(2);
+  const std::string state = site->folder() + "/state/state";
+  std::uintmax_t largest = 0;
+  bool compacted = false;
+  int orders = 0;
+  for (; orders < 6000 && !compacted; ++orders) {
+    const std::string id = "order-" + std::to_string(orders) + std::string(40, 'x');
+    const api::Reply reply = site->Call(
+        "POST", "/v1/orders",
+        R"({"id":")" + id + R"(","verb":"undrain","instances":["n1","n2"],"supersede":true,"as":")" +
+            std::string(64, 'w') + "\"}");
+    ASSERT_EQ(reply.status, 202u) << reply.Why();
+    const auto size = std::filesystem::file_size(state);
+    compacted = size < largest;
+    largest = std::max(largest, size);
+  }
+  ASSERT_TRUE(compacted) << orders << " orders, " << largest << " bytes";
+  EXPECT_LT(largest, 8u << 20);
+  const auto before = site->Call("GET", "/v1/status").body.at("generation").to_number<std::uint64_t>();
+  EXPECT_GE(before, static_cast<std::uint64_t>(orders));
+  const pid_t pid = site->PidOf("n1");
+  site->KillAgent(SIGKILL);
+  site->StartAgent();
+  EXPECT_EQ(site->Call("GET", "/v1/status").body.at("generation").to_number<std::uint64_t>(), before);
+  EXPECT_EQ(site->PidOf("n1"), pid) << "adopted";
+}
+
+// badgerctl on a terminal of its own; what it printed there.
+std::string OnTerminal(Site& site, std::vector<std::string> arguments, bool no_color) {
+  arguments.insert(arguments.begin(), {Binary("badgerctl"), "--context", site.folder() + "/context.toml"});
+  int master = -1;
+  const pid_t pid = forkpty(&master, nullptr, nullptr, nullptr);
+  if (pid == 0) {
+    if (no_color) setenv("NO_COLOR", "1", 1);
+    std::vector<char*> words;
+    for (std::string& word : arguments) words.push_back(word.data());
+    words.push_back(nullptr);
+    execv(words[0], words.data());
+    _exit(127);
+  }
+  std::string out;
+  char piece[4096];
+  for (ssize_t n = 0; (n = read(master, piece, sizeof piece)) > 0;)
+    out.append(piece, static_cast<std::size_t>(n));
+  close(master);
+  waitpid(pid, nullptr, 0);
+  return out;
+}
+
+TEST_F(HardCasesTest, ColoursAndProgressAreForTerminalsAndNoColorIsObeyed) {
+  Start(2);
+  ASSERT_EQ(site->Ctl({"drain", "n2"}).code, 0);
+  const std::string plain = site->Ctl({"status"}).out;
+  EXPECT_EQ(plain.find('\x1b'), std::string::npos) << "none in a pipe";
+  EXPECT_NE(OnTerminal(*site, {"status"}, false).find("\x1b["), std::string::npos);
+  EXPECT_EQ(OnTerminal(*site, {"status"}, true).find('\x1b'), std::string::npos);
+  EXPECT_NE(OnTerminal(*site, {"undrain", "n2"}, false).find("instances"), std::string::npos)
+      << "its progress";
+  EXPECT_EQ(site->Ctl({"drain", "n2"}).err, "") << "none in a pipe";
+}
+
+std::string Shell(const std::string& script) {
+  std::string out;
+  FILE* pipe = popen(script.c_str(), "r");
+  if (!pipe) return "no shell";
+  char piece[4096];
+  for (std::size_t n = 0; (n = fread(piece, 1, sizeof piece, pipe)) > 0;) out.append(piece, n);
+  const int status = pclose(pipe);
+  return out + "exit " + std::to_string(WEXITSTATUS(status));
+}
+
+TEST_F(HardCasesTest, TheCompletionCompletesInAShell) {
+  Start(2);
+  const auto complete = [&](const std::string& words, int at) {
+    return Shell("BADGERCTL_CONTEXT=" + site->folder() +
+                 "/context.toml PATH=" + std::filesystem::path(Binary("badgerctl")).parent_path().string() +
+                 ":$PATH bash -c '" + "source <(badgerctl completion bash); COMP_WORDS=(" + words +
+                 "); COMP_CWORD=" + std::to_string(at) + "; _badgerctl; echo ${COMPREPLY[@]}'");
+  };
+  EXPECT_EQ(complete("badgerctl dr", 1), "drain\nexit 0");
+  EXPECT_EQ(complete("badgerctl mem", 1), "members\nexit 0");
+  EXPECT_EQ(complete("badgerctl drain --dead", 2), "--deadline\nexit 0");
+  // Names of instances come from the agents; the tool runs while this thread waits, and the agent is a
+  // process.
+  EXPECT_EQ(complete("badgerctl drain \"\"", 2), "n1 n2\nexit 0");
+}
+
+TEST(Scripts, WithoutRightsTheOneLineToRunIsPrinted) {
+  std::string folder = ::testing::TempDir() + "rights_XXXXXX";
+  ASSERT_NE(mkdtemp(folder.data()), nullptr);
+  std::ofstream(folder + "/id") << "#!/bin/sh\necho 1000\n";  // not root, on a machine with none of the tools
+  std::ofstream(folder + "/dirname") << "#!/bin/sh\necho " SOURCE_DIR "/scripts\n";
+  for (const char* name : {"/id", "/dirname"}) chmod((folder + name).c_str(), 0755);
+  const std::string out = Shell("PATH=" + folder + " /bin/sh " SOURCE_DIR "/scripts/packages 2>&1");
+  EXPECT_NE(out.find("These packages are missing. Run this once, as root:\n  apt-get update && apt-get "
+                     "install -y cmake g++"),
+            std::string::npos)
+      << out;
+  EXPECT_NE(out.find("exit 1"), std::string::npos) << out;
+  std::filesystem::remove_all(folder);
+}
+
+}  // namespace
+}  // namespace badgerbridge::fleet
