--- a/tests/node_process_test.cpp
+++ b/tests/node_process_test.cpp
@@ -8,7 +8,9 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
+#include <map>
 #include <sstream>
 #include <thread>
 
@@ -25,14 +27,20 @@
 
 class Program {
  public:
-  Program(const std::string& config, const std::string& listen, rlim_t descriptors = 0)
+  Program(const std::string& config, const std::string& listen, rlim_t descriptors = 0,
+          const std::string& operators = "")
       : folder_(::testing::TempDir() + "badgerbridge_XXXXXX") {
     EXPECT_NE(mkdtemp(folder_.data()), nullptr);
     std::ofstream(folder_ + "/config.json") << config;
+    std::ofstream(folder_ + "/op.toml") << operators;
     pid_ = fork();
     if (pid_ != 0) return;
     setenv("ROUTER_CONFIG", (folder_ + "/config.json").c_str(), 1);
     setenv("ROUTER_LISTEN", listen.c_str(), 1);
+    if (!operators.empty()) setenv("BADGERBRIDGE_OPERATOR", (folder_ + "/op.toml").c_str(), 1);
+    if (descriptors == 0) {
+      for (int number = 3; number < 1024; ++number) close(number);  // the test's are not its own
+    }
     if (descriptors > 0) {
       const rlimit limit{descriptors, descriptors};
       setrlimit(RLIMIT_NOFILE, &limit);
@@ -46,7 +54,7 @@
       kill(pid_, SIGKILL);
       waitpid(pid_, nullptr, 0);
     }
-    for (const char* name : {"/config.json", "/err"}) unlink((folder_ + name).c_str());
+    for (const char* name : {"/config.json", "/err", "/op.toml"}) unlink((folder_ + name).c_str());
     rmdir(folder_.c_str());
   }
   void Signal(int signal) const { kill(pid_, signal); }
@@ -56,6 +64,10 @@
     waitpid(std::exchange(pid_, -1), &status, 0);
     return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
   }
+  std::size_t Entries(const char* what) const {  // "fd" or "task", proc(5)
+    const std::filesystem::directory_iterator all("/proc/" + std::to_string(pid_) + "/" + what);
+    return static_cast<std::size_t>(std::distance(begin(all), end(all)));
+  }
   std::string Log() const {
     std::ifstream in(folder_ + "/err");
     std::ostringstream text;
@@ -105,6 +117,33 @@
   EXPECT_EQ(program.Log().rfind("badgerbridge: ", 0), 0u);
 }
 
+// What the operator's file does not name holds no descriptor and no thread.
+TEST(NodeProcess, WhatIsOffCostsNeitherDescriptorNorThread) {
+  asio::io_context io;
+  Peer backend(io, [](Wire&) {});
+  const std::string socket = ::testing::TempDir() + "off_" + std::to_string(getpid()) + ".sock";
+  std::map<std::string, std::pair<std::size_t, std::size_t>> held;
+  for (const auto& [name, operators] : std::map<std::string, std::string>{
+           {"none", ""}, {"empty", "# nothing\n"}, {"control", "[control]\nsocket = \"" + socket + "\"\n"}}) {
+    Program program(ConfigJson({EndpointJson("a", backend.address())}), OwnAddress(), 0, operators);
+    const auto client = ConnectTo(io, OwnAddress());
+    ASSERT_TRUE(client);
+    client->Send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    ASSERT_TRUE(RunUntil(io, [&] { return client->in.find("200") != std::string::npos; })) << client->in;
+    // The least of several looks: its try to reach discovery comes and goes.
+    std::size_t descriptors = SIZE_MAX;
+    for (int i = 0; i < 40; ++i) {
+      descriptors = std::min(descriptors, program.Entries("fd"));
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    held[name] = {descriptors, program.Entries("task")};
+  }
+  EXPECT_EQ(held["empty"], held["none"]);
+  EXPECT_EQ(held["none"].second, 1u) << "one thread";
+  EXPECT_EQ(held["control"].first, held["none"].first + 1) << "a listening socket";
+  EXPECT_EQ(held["control"].second, 1u);
+}
+
 TEST(NodeProcess, TermAnswersWhatWasTakenAndExitsWithZero) {
   asio::io_context io;
   Wire* waiting = nullptr;
