--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -19,6 +19,8 @@
 // Exit codes; where several hold, the one that stands last here.
 enum Exit { kAllDid = 0, kSomeDidNot = 1, kUsage = 2, kConflict = 3, kNotAllowed = 4, kOutOfReach = 5 };
 
+constexpr std::chrono::milliseconds kUsualTimeout{5000};  // of one question
+
 struct Selection {
   std::vector<std::string> names;   // "n1" or "agent/n1"
   std::vector<std::string> labels;  // "key=value", all of them
--- a/src/ctl/members.cpp
+++ b/src/ctl/members.cpp
@@ -12,8 +12,6 @@
 
 namespace json = boost::json;
 
-constexpr std::chrono::milliseconds kUsualTimeout{5000};
-
 // "etcd (authority, current, revision 12), discovery (stale, revision 3); etcd is watching"
 std::string Sources(const json::object& body) {
   std::string text;
