--- a/src/etcd/client.cpp
+++ b/src/etcd/client.cpp
@@ -47,16 +47,18 @@
   if (channel_) channel_->Close("it is not wanted any more");
 }
 
-asio::awaitable<Status> Client::Connect() {
+asio::awaitable<Status> Client::Connect(milliseconds timeout) {
   const auto waiter = std::make_shared<Waiter>(io_);
   if (channel_) channel_->Close("another connection is tried");
   channel_.reset();
   token_.clear();
   ++connects_;
   Status status;
+  ChannelOptions options = settings_.channel;
+  options.connect_timeout = std::min(options.connect_timeout, timeout);
   try {
     channel_ = Channel::Open(
-        io_, settings_.endpoints[endpoint_], settings_.channel, [waiter] { waiter->Done({}); },
+        io_, settings_.endpoints[endpoint_], options, [waiter] { waiter->Done({}); },
         [waiter](const std::string& why) {
           waiter->Done({Code::kUnavailable, Ending::kLost, why});
         });
@@ -82,12 +84,16 @@
   co_return waiter->status;
 }
 
-// At the member of the moment: a connection, a token, the call.
+// At the member of the moment: a connection, a token, the call; all of it within `timeout`.
 asio::awaitable<Status> Client::Try(std::string path, std::string request, std::string* answer,
                                     milliseconds timeout) {
+  const auto due = Clock::now() + timeout;
+  const auto left = [&] {
+    return std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(due - Clock::now()));
+  };
   Status status;
   if (!channel_ || !channel_->is_open() || channel_->going_away()) {
-    status = co_await Connect();
+    status = co_await Connect(timeout);
     if (!status.ok()) co_return status;
   }
   if (!settings_.user.empty() && token_.empty()) {
@@ -95,14 +101,14 @@
     login.set_name(settings_.user);
     login.set_password(settings_.password);
     std::string text;
-    status = co_await One("/etcdserverpb.Auth/Authenticate", login.SerializeAsString(), &text, timeout);
+    status = co_await One("/etcdserverpb.Auth/Authenticate", login.SerializeAsString(), &text, left());
     etcdserverpb::AuthenticateResponse token;
     if (status.ok() && !token.ParseFromString(text))
       status = {Code::kInternal, Ending::kMalformed, "no such message"};
     if (!status.ok()) co_return status;
     token_ = token.token();
   }
-  status = co_await One(std::move(path), std::move(request), answer, timeout);
+  status = co_await One(std::move(path), std::move(request), answer, left());
   co_return status;
 }
 
--- a/src/etcd/client.h
+++ b/src/etcd/client.h
@@ -23,8 +23,8 @@
 struct ClientSettings {
   std::vector<boost::asio::ip::tcp::endpoint> endpoints;  // at least one
   ChannelOptions channel;
-  std::string user, password;                                       // both: calls carry a token
-  std::chrono::milliseconds call_timeout{1000};                     // of one try at one member
+  std::string user, password;                    // both: calls carry a token
+  std::chrono::milliseconds call_timeout{1000};  // of one try at one member, with connection and token
   std::chrono::milliseconds first_backoff{20}, most_backoff{1000};  // once every member has failed
 };
 
@@ -54,7 +54,7 @@
                                      std::chrono::milliseconds timeout);
   boost::asio::awaitable<Status> Try(std::string path, std::string request, std::string* answer,
                                      std::chrono::milliseconds timeout);
-  boost::asio::awaitable<Status> Connect();
+  boost::asio::awaitable<Status> Connect(std::chrono::milliseconds timeout);
   boost::asio::awaitable<Status> One(std::string path, std::string request, std::string* answer,
                                      std::chrono::milliseconds timeout);
 
--- a/src/membership/registration.cpp
+++ b/src/membership/registration.cpp
@@ -110,7 +110,6 @@
   beat_ = asked_ + Time(std::max<std::int64_t>(1, response.ttl()) * 1000 / 3);
   written_ = false;
   step_ = Step::kRead;
-  if (stop_at_) Finish("it was ended");
 }
 
 void Registration::WasRead(Time now, const etcd::Status& status, const pb::RangeResponse& response) {
