--- a/bench/etcd.cpp
+++ b/bench/etcd.cpp
@@ -26,7 +26,6 @@
 #include <sstream>
 
 #include "measure.h"
-#include "membership/etcd_source.h"
 #include "membership/value.h"
 #include "standins/site.h"
 
@@ -122,9 +121,11 @@
       std::vector<std::pair<std::string, std::string>> pairs;
       for (std::size_t i = from; i < from + n; ++i) {
         membership::Member one;
-        one.name = "far-" + std::to_string(i);
+        // Many names of few converters: each takes its share of the load. In the long list nobody is asked,
+        // and names and addresses are as long as an installation's.
+        one.name = (key == kBig ? "converter-bay-03-" : "far-") + std::to_string(10000 + i);
         one.address =
-            where[i % where.size()];  // many names of few converters: each takes its share of the load
+            key == kBig ? "10.123.145." + std::to_string(i % 250) + ":18080" : where[i % where.size()];
         one.zone = "b";
         one.kind = "standard";
         one.group = 1;
@@ -188,7 +189,7 @@
     site.Write(std::string(name) + ".toml", "[control]\nsocket = \"" + site.folder() + "/" + name +
                                                 ".sock\"\n[etcd]\nendpoints = [" + endpoints +
                                                 "]\nprefix = \"" + prefix + "\"\n");
-  const auto put = [&](int i, membership::State state) {
+  const auto put = [&](int i, membership::State state, double weight = 1) -> std::uint64_t {
     membership::Member one;
     const Converter& converter = *site.converters()[static_cast<std::size_t>(i)];
     one.name = converter.settings().name;
@@ -197,7 +198,8 @@
     one.kind = "standard";
     one.group = 1;
     one.state = state;
-    return etcd.Say("put " + kPrefix + one.name + " " + ValueOf(one));
+    one.weight = weight;
+    return std::stoull(etcd.Say("put " + kPrefix + one.name + " " + ValueOf(one)));
   };
   for (int i = 0; i < kConverters; ++i) put(i, membership::State::kReady);
   std::string where = "where";
@@ -205,40 +207,6 @@
   etcd.Say(where);
   etcd.Say("put " + kBig + "one {}");  // so that there is something to list, which can't be read
 
-  // 1. A quiet link: from before the write to its being in a ledger's hands.
-  std::vector<double> quiet;
-  {
-    membership::EtcdSourceSettings source;
-    for (const std::string& one : etcd.addresses)
-      source.endpoints.emplace_back(boost::asio::ip::address_v4::loopback(),
-                                    static_cast<std::uint16_t>(std::stoi(one.substr(one.rfind(':') + 1))));
-    source.feed.prefix = "/quiet/";
-    std::uint64_t version = 0;
-    membership::EtcdSource follower(
-        io, source, 1, [&](membership::Time, const membership::Report& report) { version = report.version; },
-        [](membership::Time) {}, [](const std::string&, const std::string&) {});
-    checks.Expect(site.Until([&] { return follower.feed().state() == "watching"; }),
-                  "the follower does not watch");
-    membership::Member one;
-    one.name = "q";
-    one.address = "127.0.0.1:1";
-    for (int i = 0; i < 500; ++i) {
-      one.since_ms = i;
-      const auto at = Clock::now();
-      const std::uint64_t written = std::stoull(etcd.Say("put /quiet/q " + ValueOf(one)));
-      while (version < written && Since(at) < 1000) {
-        io.restart();
-        io.run_one_for(milliseconds(20));
-      }
-      quiet.push_back(Since(at));
-    }
-  }
-  const double quiet_p99 = Quantile(quiet, 0.99);
-  std::printf("quiet link, 500 writes: p50 %.2f ms, p99 %.2f ms, worst %.2f ms\n", Quantile(quiet, 0.5),
-              quiet_p99, Quantile(quiet, 1));
-  checks.Expect(quiet_p99 < 20, "p99 from write to applied is 20 ms or more");
-
-  // 2. Drains under load, with faults at the moment of the write.
   site.StartAgent();
   checks.Expect(site.Until([&] { return site.StateOf("n1") == "ready" && site.PidOf("n2") > 0; }),
                 "the proxies do not get ready");
@@ -259,6 +227,24 @@
       return !about.empty() && about.at("revision").to_number<std::uint64_t>() >= revision;
     });
   };
+  // 1. A quiet link: from before the write to the proxy's own word, by its control socket, that its list has
+  // it.
+  std::vector<double> quiet;
+  for (int i = 0; i < 300; ++i) {
+    const auto at = Clock::now();
+    const std::uint64_t written = put(0, membership::State::kReady, 1 + i);
+    while (Since(at) < 1000) {
+      const auto about = list("n1");
+      if (!about.empty() && about.at("revision").to_number<std::uint64_t>() >= written) break;
+    }
+    quiet.push_back(Since(at));
+  }
+  const double quiet_p99 = Quantile(quiet, 0.99);
+  std::printf("quiet link, %zu writes until the proxy has them: p50 %.2f ms, p99 %.2f ms, worst %.2f ms\n",
+              quiet.size(), Quantile(quiet, 0.5), quiet_p99, Quantile(quiet, 1));
+  checks.Expect(quiet_p99 < 20, "p99 from write to applied is 20 ms or more");
+
+  // 2. Drains under load, with faults at the moment of the write.
   Load load;
   load.per_second = 400;
   load.seed = 7;
