Give a slow etcd the time it needs from the second connection on; test what was not

The first connection's steps were not counted, so a feed gave members 100 ms where their first answers had taken longer, until all had failed: found by a test of the feed's patience alone. Registrar asks in one way for all its calls.

Tested now, each by making it happen: a converter that writes its key between the tool's read and its transaction (kept; for ever: exit code 3), etcd that does not allow it (4), a password that can't be read, a hanging instance behind members (504), a registration whose key is deleted, roles for release, 1,200 revisions in a burst that arrive whole and are shown with those that only etcd lists.

--- a/src/app/membership_source.h
+++ b/src/app/membership_source.h
@@ -25,7 +25,8 @@
  public:
   using OnChange = std::function<void(const EndpointList&)>;
 
-  // Throws BadConfig for a password that can't be read. `on_change` is not called from within.
+  // Throws std::runtime_error, one line, for a password that can't be read. `on_change` is not called from
+  // within.
   MembershipSource(boost::asio::io_context& io, const Config& config,
                    const badgerbridge::operator_file::Etcd& settings, OnChange on_change);
 
--- a/src/membership/feed.cpp
+++ b/src/membership/feed.cpp
@@ -52,12 +52,16 @@
 // nothing must cost little, since a drain may be waiting. It grows while all of them fail, and is never under
 // twice what the last good ones took.
 void Feed::Next(Time now, State state) {
-  longest_ = std::max(longest_, now - began_);
-  began_ = now;
   state_ = state;
   wake_ = now + patience_;
 }
 
+// A first step is answered.
+void Feed::Took(Time now) {
+  longest_ = std::max(longest_, now - began_);
+  began_ = now;
+}
+
 void Feed::Tick(Time now, Actions* actions) {
   if (now < wake_) return;
   switch (state_) {
@@ -79,6 +83,7 @@
 
 void Feed::Opened(Time now, Actions* actions) {
   if (state_ != State::kConnecting) return;
+  Took(now);
   if (settings_.authenticate) {
     Next(now, State::kAuthenticating);
     actions->push_back(Authenticate{});
@@ -93,6 +98,7 @@
     state_ = State::kAuthenticating;
     return Fail(now, "authentication: " + status.Text(), actions);
   }
+  Took(now);
   if (!known_) return List(now, actions);
   // What is committed? By a read that can't be behind, of a single key.
   Next(now, State::kProbing);
@@ -134,9 +140,9 @@
   }
   const pb::ResponseHeader& header = response.header();
   if (state_ == State::kProbing) {
+    Took(now);
     if (header.cluster_id() != cluster_ || header.revision() < revision_) return List(now, actions);
     ++resumes_;
-    longest_ = std::max(longest_, now - began_);
     return StartWatch(now, actions);
   }
   if (listing_at_ == 0) {
--- a/src/membership/feed.h
+++ b/src/membership/feed.h
@@ -93,6 +93,7 @@
 
   void Begin(Time now, Actions* actions);
   void Next(Time now, State state);
+  void Took(Time now);
   void List(Time now, Actions* actions);
   void StartWatch(Time now, Actions* actions);
   void Fail(Time now, const std::string& why, Actions* actions);
--- a/src/membership/registrar.cpp
+++ b/src/membership/registrar.cpp
@@ -10,8 +10,6 @@
 namespace badgerbridge::membership {
 
 namespace asio = boost::asio;
-namespace pb = etcdserverpb;
-using Actions = Registration;
 
 Registrar::Registrar(asio::io_context& io, etcd::ClientSettings client, RegistrationSettings settings,
                      std::uint64_t seed, std::function<void(const Registration&)> told)
@@ -22,30 +20,28 @@
       told_(std::move(told)),
       timer_(io) {}
 
+template <typename Request, typename Response>
+asio::awaitable<void> Registrar::Ask(const char* method, Request request,
+                                     void (Registration::*told)(Time, const etcd::Status&, const Response&)) {
+  Response response;
+  const etcd::Status status =
+      co_await client_.Call(std::string("/etcdserverpb.") + method, std::move(request), &response, timeout_);
+  (registration_.*told)(EtcdSource::Now(), status, response);
+}
+
 asio::awaitable<void> Registrar::Carry(Registration::Action action) {
-  etcd::Status status;
-  if (auto* grant = std::get_if<Actions::Grant>(&action)) {
-    pb::LeaseGrantResponse response;
-    status = co_await client_.Call("/etcdserverpb.Lease/LeaseGrant", grant->request, &response, timeout_);
-    registration_.Granted(EtcdSource::Now(), status, response);
-  } else if (auto* read = std::get_if<Actions::Read>(&action)) {
-    pb::RangeResponse response;
-    status = co_await client_.Call("/etcdserverpb.KV/Range", read->request, &response, timeout_);
-    registration_.WasRead(EtcdSource::Now(), status, response);
-  } else if (auto* write = std::get_if<Actions::Write>(&action)) {
-    pb::TxnResponse response;
-    status = co_await client_.Call("/etcdserverpb.KV/Txn", write->request, &response, timeout_);
-    registration_.Written(EtcdSource::Now(), status, response);
-  } else if (auto* alive = std::get_if<Actions::KeepAlive>(&action)) {
+  if (auto* grant = std::get_if<Registration::Grant>(&action)) {
+    co_await Ask("Lease/LeaseGrant", grant->request, &Registration::Granted);
+  } else if (auto* read = std::get_if<Registration::Read>(&action)) {
+    co_await Ask("KV/Range", read->request, &Registration::WasRead);
+  } else if (auto* write = std::get_if<Registration::Write>(&action)) {
+    co_await Ask("KV/Txn", write->request, &Registration::Written);
+  } else if (auto* alive = std::get_if<Registration::KeepAlive>(&action)) {
     // A stream both ways in the API; one question and its end make it a single call.
-    pb::LeaseKeepAliveResponse response;
-    status = co_await client_.Call("/etcdserverpb.Lease/LeaseKeepAlive", alive->request, &response, timeout_);
-    registration_.KeptAlive(EtcdSource::Now(), status, response);
-  } else if (auto* revoke = std::get_if<Actions::Revoke>(&action)) {
-    pb::LeaseRevokeResponse response;
-    status = co_await client_.Call("/etcdserverpb.Lease/LeaseRevoke", revoke->request, &response, timeout_);
-    registration_.Revoked(EtcdSource::Now(), status);
-  } else if (auto* wait = std::get_if<Actions::Wait>(&action)) {
+    co_await Ask("Lease/LeaseKeepAlive", alive->request, &Registration::KeptAlive);
+  } else if (auto* revoke = std::get_if<Registration::Revoke>(&action)) {
+    co_await Ask("Lease/LeaseRevoke", revoke->request, &Registration::Revoked);
+  } else if (auto* wait = std::get_if<Registration::Wait>(&action)) {
     boost::system::error_code ignored;
     auto token = asio::redirect_error(asio::use_awaitable, ignored);
     timer_.expires_after(std::max(Time(1), wait->until - EtcdSource::Now()));
--- a/src/membership/registrar.h
+++ b/src/membership/registrar.h
@@ -28,6 +28,9 @@
 
  private:
   boost::asio::awaitable<void> Carry(Registration::Action action);
+  template <typename Request, typename Response>
+  boost::asio::awaitable<void> Ask(const char* method, Request request,
+                                   void (Registration::*told)(Time, const etcd::Status&, const Response&));
 
   etcd::Client client_;
   Registration registration_;
--- a/src/membership/registration.cpp
+++ b/src/membership/registration.cpp
@@ -170,7 +170,7 @@
   step_ = Step::kRead;  // has somebody drained it, or taken it over?
 }
 
-void Registration::Revoked(Time now, const etcd::Status& status) {
+void Registration::Revoked(Time now, const etcd::Status& status, const pb::LeaseRevokeResponse&) {
   if (step_ != Step::kRevoke) return;
   const bool gone =
       status.ok() || (status.ending == etcd::Ending::kStatus && status.code == etcd::Code::kNotFound);
--- a/src/membership/registration.h
+++ b/src/membership/registration.h
@@ -66,7 +66,7 @@
   void WasRead(Time now, const etcd::Status& status, const etcdserverpb::RangeResponse& response);
   void Written(Time now, const etcd::Status& status, const etcdserverpb::TxnResponse& response);
   void KeptAlive(Time now, const etcd::Status& status, const etcdserverpb::LeaseKeepAliveResponse& response);
-  void Revoked(Time now, const etcd::Status& status);
+  void Revoked(Time now, const etcd::Status& status, const etcdserverpb::LeaseRevokeResponse& response);
 
   // It shall end: says that it drains for a while, then gives the lease back.
   void Stop(Time now);
--- a/tests/fleet/agent_test.cpp
+++ b/tests/fleet/agent_test.cpp
@@ -520,6 +520,8 @@
   EXPECT_EQ(refused.Why(), "cn reader has the role reader; this takes operator");
   EXPECT_EQ(As("stranger", "GET", "/v1/status").status, 403u);
   EXPECT_EQ(As("operator", "POST", "/v1/apply", "{}").status, 403u);
+  EXPECT_EQ(As("reader", "POST", "/v1/instances/n1/members/release", "{}").status, 403u);
+  EXPECT_EQ(As("reader", "GET", "/v1/instances/n9/members").status, 404u);
   EXPECT_EQ(As("operator", "POST", "/v1/orders", kDrain).status, 202u);
   const std::string audit = site->Read("state/audit.log");
   EXPECT_NE(audit.find(R"("who":"cn reader","what":"not allowed")"), std::string::npos) << audit;
--- a/tests/membership/members_test.cpp
+++ b/tests/membership/members_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <boost/json.hpp>
+#include <climits>
 #include <csignal>
 
 #include "membership/etcd_source.h"
@@ -127,6 +128,56 @@
   EXPECT_EQ(etcd->protocol_errors(), 0u);
 }
 
+TEST_F(MembersTest, AnotherWriterIsNeverOverwrittenAndOneThatNeverStopsIsAConflict) {
+  // The converter itself writes its key between the tool's read and its transaction: once, then for ever.
+  int writes = 0, most = 1;
+  etcd->BeforeTxn([&] {
+    if (writes >= most) return;
+    ++writes;
+    Member member;
+    member.name = "c-1";
+    member.address = "127.0.0.1:" + std::to_string(1000 + writes);
+    etcd->Put(kPrefix + "c-1", ValueOf(member));
+  });
+  CommandResult result = site->Ctl({"members", "drain", "c-1", "--etcd", address});
+  EXPECT_EQ(result.code, 0) << result.out;
+  pb::RangeRequest range;
+  range.set_key(kPrefix + "c-1");
+  pb::RangeResponse there;
+  ASSERT_TRUE(etcd->store().Range(range, &there).ok());
+  EXPECT_NE(there.kvs(0).value().find("127.0.0.1:1001"), std::string::npos) << "what it wrote is kept";
+  EXPECT_NE(there.kvs(0).value().find("Terminating"), std::string::npos);
+  most = INT_MAX;
+  result = site->Ctl({"members", "undrain", "c-1", "--etcd", address});
+  EXPECT_EQ(result.code, 0) << "it says so already: the other has written Ready";
+  result = site->Ctl({"members", "drain", "c-1", "--etcd", address});
+  EXPECT_EQ(result.code, 3) << result.out;
+  EXPECT_NE(result.out.find("others write"), std::string::npos) << result.out;
+}
+
+TEST_F(MembersTest, WhatEtcdDoesNotAllowIsSaidAndAPasswordThatCantBeReadToo) {
+  EtcdSettings settings;
+  settings.user = "tool";
+  settings.password = "secret";
+  Etcd guarded(io, settings);
+  Member member;
+  member.name = "c-1";
+  member.address = "127.0.0.1:1";
+  guarded.Put(kPrefix + "c-1", ValueOf(member));
+  const std::string at = "127.0.0.1:" + std::to_string(guarded.address(0).port());
+  CommandResult result = site->Ctl({"members", "drain", "c-1", "--etcd", at});
+  EXPECT_EQ(result.code, 4) << result.out;
+  const std::string table = "[etcd]\nendpoints = [\"" + at + "\"]\nuser = \"tool\"\npassword_file = \"" +
+                            site->folder() + "/password\"\n";
+  site->Write("guarded.toml", table);
+  result = site->Ctl({"members", "drain", "c-1", "--operator", site->folder() + "/guarded.toml"});
+  EXPECT_EQ(result.code, 2);
+  EXPECT_NE(result.err.find("cannot read a password from"), std::string::npos) << result.err;
+  site->Write("password", "secret\n");
+  result = site->Ctl({"members", "drain", "c-1", "--operator", site->folder() + "/guarded.toml"});
+  EXPECT_EQ(result.code, 0) << result.out << result.err;
+}
+
 TEST_F(MembersTest, AMassDepartureIsHeldAndLetGoByHand) {
   Start();
   for (const char* name : {"c-1", "c-2", "c-3"}) etcd->Delete(kPrefix + name);
@@ -166,6 +217,14 @@
   EXPECT_EQ(result.code, 0) << result.err;
   EXPECT_NE(result.err.find("c-9 is registered, lease"), std::string::npos) << result.err;
   EXPECT_EQ(site->Ctl({"members", "register", "c-9", "--etcd", address, "--address", "nowhere"}).code, 2);
+  // One whose key somebody deletes ends by itself, and says why.
+  const auto other = site->BeginCtl(
+      {"members", "register", "c-8", "--etcd", address, "--address", "127.0.0.1:8", "--ttl", "1s"});
+  ASSERT_TRUE(site->Until([&] { return All("c-8", "ready"); }));
+  etcd->Delete(kPrefix + "c-8");
+  const CommandResult deleted = site->Finish(other);
+  EXPECT_EQ(deleted.code, 1);
+  EXPECT_NE(deleted.err.find("its key was deleted by somebody else"), std::string::npos) << deleted.err;
 }
 
 TEST_F(MembersTest, WithoutATableThereIsNoLedgerAndOneThatIsDownIsSaid) {
@@ -176,6 +235,14 @@
   EXPECT_EQ(result.code, 1);
   EXPECT_NE(result.err.find("no ledger here: the operator's file has no [etcd] table"), std::string::npos);
   EXPECT_EQ(site->Ctl({"members", "release", "n2"}).code, 1);
+  // One that hangs is said as such, and is none that does not run.
+  kill(site->PidOf("n1"), SIGSTOP);
+  result = site->Ctl({"members", "n1"});
+  EXPECT_EQ(result.code, 1);
+  EXPECT_NE(result.err.find("the instance does not answer: no answer within 1000 ms"), std::string::npos)
+      << result.err;
+  kill(site->PidOf("n1"), SIGCONT);
+  ASSERT_TRUE(site->Until([&] { return site->StateOf("n1") == "ready"; }));
   EXPECT_EQ(site->Ctl({"stop", "n1"}).code, 0);
   result = site->Ctl({"members", "n1"});
   EXPECT_EQ(result.code, 1);
--- a/tests/membership/node_test.cpp
+++ b/tests/membership/node_test.cpp
@@ -13,6 +13,7 @@
 #include <fstream>
 
 #include "api/client.h"
+#include "membership/value.h"
 #include "standins/clients.h"
 #include "standins/converters.h"
 #include "standins/discovery.h"
@@ -180,6 +181,44 @@
   EXPECT_EQ(etcd->protocol_errors(), 0u);
 }
 
+TEST_F(NodeEtcdTest, ABurstOfRevisionsArrivesWholeInFewListsAndIsShown) {
+  for (int i = 0; i < 4; ++i) Write(i);
+  Start();
+  ASSERT_TRUE(Until([&] { return StateOf("c3") == "ready by etcd: ready"; }));
+  // Each of 400 is written three times, the last of which counts; c0 drains in their midst.
+  const auto many = [&](double weight, State state) {
+    for (int i = 0; i < 400; ++i) {
+      Member one;
+      one.name = "far" + std::to_string(i);
+      one.address = converters[0]->address();
+      one.weight = weight;
+      one.state = state;
+      etcd->Put(kPrefix + one.name, ValueOf(one));
+    }
+  };
+  many(1, State::kReady);
+  many(2, State::kReady);
+  Write(0, "Terminating");
+  many(3, State::kDraining);
+  const auto converters_shown = [&] {
+    auto reply = std::make_shared<std::optional<api::Reply>>();
+    asio::co_spawn(io, api::CallUnix(folder + "/c.sock", "GET", "/v1/converters", "", milliseconds(3000)),
+                   [reply](std::exception_ptr, api::Reply answer) { *reply = std::move(answer); });
+    EXPECT_TRUE(Until([&] { return reply->has_value(); }));
+    std::map<std::string, std::string> states;
+    for (const json::value& one : (*reply)->body.at("converters").as_array())
+      states[std::string(one.at("name").as_string())] = std::string(one.at("status").as_string());
+    return states;
+  };
+  ASSERT_TRUE(
+      Until([&] { return converters_shown().size() == 404 && converters_shown()["far399"] == "draining"; }));
+  const auto states = converters_shown();
+  EXPECT_EQ(states.at("c0"), "draining");
+  for (int i = 0; i < 400; ++i) EXPECT_EQ(states.at("far" + std::to_string(i)), "draining") << i;
+  for (int i = 0; i < 400; ++i) etcd->Delete(kPrefix + "far" + std::to_string(i));
+  ASSERT_TRUE(Until([&] { return converters_shown().size() == 4; }));
+}
+
 TEST_F(NodeEtcdTest, JoinsNeedEtcdAndDiscoverysDepartureCountsAtOnce) {
   for (int i = 0; i < 2; ++i) {
     Write(i);
--- a/tests/membership/registration_test.cpp
+++ b/tests/membership/registration_test.cpp
@@ -154,7 +154,7 @@
   }
   void Do(const Registration::Revoke& a) {
     Call([&] { return store.Revoke(a.request.id()); },
-         [&](const Status& s) { registration_.Revoked(now_, s); });
+         [&](const Status& s) { registration_.Revoked(now_, s, {}); });
   }
   void Do(const Registration::Wait&) {}
   void Do(const Registration::End&) {}
--- a/tests/standins/etcd.cpp
+++ b/tests/standins/etcd.cpp
@@ -526,6 +526,7 @@
   } else if (path == "/etcdserverpb.KV/Txn") {
     pb::TxnRequest request;
     if (!parse(&request)) return;
+    if (before_txn_) before_txn_();
     pb::TxnResponse response;
     const Status status = store_->Txn(request, &response);
     answer(status, &response);
--- a/tests/standins/etcd.h
+++ b/tests/standins/etcd.h
@@ -9,6 +9,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -62,6 +63,8 @@
   void Restore(EtcdStore backup, std::uint64_t cluster_id);
 
   void Next(EtcdFault fault) { fault_ = fault; }
+  // Before each transaction of a client's: somebody else is faster.
+  void BeforeTxn(std::function<void()> what) { before_txn_ = std::move(what); }
   // Every connection of this member ends, and every further one, once it has sent so many bytes more.
   void CutAfter(std::size_t member, std::size_t bytes);
   // Nothing that comes is read and nothing is sent, but connections stay open and new ones come up.
@@ -95,6 +98,7 @@
   std::unique_ptr<EtcdStore> store_;
   std::vector<std::unique_ptr<Member>> members_;
   EtcdFault fault_ = EtcdFault::kNone;
+  std::function<void()> before_txn_;
   std::map<std::string, std::chrono::steady_clock::time_point> tokens_;
   std::size_t calls_ = 0, protocol_errors_ = 0, next_token_ = 0;
   boost::asio::steady_timer timer_;
