Keep the agent from waiting for a child that runs: it stood still for as long as that lived

The agent was in waitpid for the new instance, whose pidfd's wait had ended though it ran; every call to the agent went unanswered, and no order went on.

ReapProcess asks and never waits, also of an adopted process; a wake for nothing is awaited again. The watched descriptor is closed on exec.

--- a/src/fleet/agent.cpp
+++ b/src/fleet/agent.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "fleet/agent.h"
 
+#include <fcntl.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -256,21 +257,27 @@
 
 void Agent::Watch(const std::string& instance, Process process) {
   const pid_t pid = process.pid;
-  const int watched = dup(process.pidfd.get());
+  const int watched = fcntl(process.pidfd.get(), F_DUPFD_CLOEXEC, 0);
   running_.erase(instance);
-  const auto [at, added] =
-      running_.emplace(instance, Running{std::move(process), asio::posix::stream_descriptor(io_, watched)});
+  running_.emplace(instance, Running{std::move(process), asio::posix::stream_descriptor(io_, watched)});
   next_poll_[instance] = Time(0);
-  at->second.watch.async_wait(asio::posix::stream_descriptor::wait_read,
-                              [this, alive = alive_, instance, pid](const boost::system::error_code& error) {
-                                if (!error && *alive) OnEnd(instance, pid);
-                              });
+  AwaitEnd(instance, pid);
+}
+
+void Agent::AwaitEnd(const std::string& instance, pid_t pid) {
+  running_.at(instance).watch.async_wait(
+      asio::posix::stream_descriptor::wait_read,
+      [this, alive = alive_, instance, pid](const boost::system::error_code& error) {
+        if (!error && *alive) OnEnd(instance, pid);
+      });
 }
 
 void Agent::OnEnd(const std::string& instance, pid_t pid) {
   const auto found = running_.find(instance);
   if (found == running_.end() || found->second.process.pid != pid) return;
-  std::string how = ReapProcess(found->second.process);
+  const std::optional<std::string> end = ReapProcess(found->second.process);
+  if (!end) return AwaitEnd(instance, pid);  // woken for nothing; docs/fleet.md
+  std::string how = *end;
   running_.erase(found);
   seen_.erase(instance);
   next_poll_.erase(instance);
--- a/src/fleet/agent.h
+++ b/src/fleet/agent.h
@@ -56,6 +56,7 @@
   void Do(const Call& action);
   void Do(const Signal& action);
   void Watch(const std::string& instance, Process process);
+  void AwaitEnd(const std::string& instance, pid_t pid);
   void OnEnd(const std::string& instance, pid_t pid);
   void Save();
   std::vector<std::string> WholeState() const;
--- a/src/fleet/process.cpp
+++ b/src/fleet/process.cpp
@@ -2,6 +2,7 @@
 #include "fleet/process.h"
 
 #include <fcntl.h>
+#include <poll.h>
 #include <sys/file.h>
 #include <sys/resource.h>
 #include <sys/stat.h>
@@ -208,10 +209,14 @@
   return syscall(SYS_pidfd_send_signal, process.pidfd.get(), number, nullptr, 0) == 0;
 }
 
-std::string ReapProcess(const Process& process) {
+std::optional<std::string> ReapProcess(const Process& process) {
+  pollfd ended{process.pidfd.get(), POLLIN, 0};
+  if (poll(&ended, 1, 0) == 0) return std::nullopt;
   if (!process.child) return "ended";
   int status = 0;
-  if (waitpid(process.pid, &status, 0) != process.pid) return "ended";
+  const pid_t reaped = waitpid(process.pid, &status, WNOHANG);
+  if (reaped == 0) return std::nullopt;
+  if (reaped != process.pid) return "ended";
   if (WIFEXITED(status)) return "exited with " + std::to_string(WEXITSTATUS(status));
   if (WIFSIGNALED(status))
     return "was killed by signal " + std::to_string(WTERMSIG(status)) + " (" + strsignal(WTERMSIG(status)) +
--- a/src/fleet/process.h
+++ b/src/fleet/process.h
@@ -52,9 +52,9 @@
 // To that process and no other; false if it has ended.
 bool SendSignal(const Process& process, int number);
 
-// After its end, in words: "exited with 0", "was killed by signal 9 (Killed)", or "ended" where this agent
-// has not started it.
-std::string ReapProcess(const Process& process);
+// How it ended, in words: "exited with 0", "was killed by signal 9 (Killed)", or "ended" where this agent has
+// not started it. Nothing while it runs; never waits.
+std::optional<std::string> ReapProcess(const Process& process);
 
 // The last line that is not blank, at most `most` bytes of it.
 std::string LastLine(const std::string& path, std::size_t most);
--- a/tests/fleet/agent_test.cpp
+++ b/tests/fleet/agent_test.cpp
@@ -5,6 +5,7 @@
 
 #include <fcntl.h>
 #include <gtest/gtest.h>
+#include <poll.h>
 #include <sys/file.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -409,6 +410,12 @@
     const auto wall =
         std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch());
     EXPECT_GT(std::abs(at - wall.count()), 300L * 86400 * 1000);
+    // One that dies is started again, by the clock that did not jump.
+    const pid_t pid = site->PidOf("n2");
+    kill(pid, SIGKILL);
+    ASSERT_TRUE(site->Until([&] { return site->PidOf("n2") != pid && site->StateOf("n2") == "ready"; }))
+        << json::serialize(site->Instance("n2")) << site->Read("agent.err")
+        << site->Read("state/logs/n2.log");
   }
   std::filesystem::remove(file);
 }
@@ -606,6 +613,13 @@
 }
 
 // ---- processes --------------------------------------------------------------------------------------------
+// How it ended, once it has.
+std::string Awaited(const Process& process) {
+  pollfd end{process.pidfd.get(), POLLIN, 0};
+  EXPECT_EQ(poll(&end, 1, 20000), 1);
+  return ReapProcess(process).value_or("it runs");
+}
+
 TEST(Process, ARecycledPidIsNeverTakenForAnInstance) {
   std::string folder = ::testing::TempDir() + "process_XXXXXX";
   ASSERT_NE(mkdtemp(folder.data()), nullptr);
@@ -624,8 +638,10 @@
   EXPECT_EQ(found->started, process->started);
   EXPECT_FALSE(StartProcess(one, paths, &error));
   EXPECT_EQ(error, "already runs");
+  EXPECT_FALSE(ReapProcess(*process)) << "it runs, and nobody waits for it";
+  EXPECT_FALSE(ReapProcess(*found));
   EXPECT_TRUE(SendSignal(*found, SIGKILL));
-  EXPECT_EQ(ReapProcess(*process).rfind("was killed by signal 9", 0), 0u);
+  EXPECT_EQ(Awaited(*process).rfind("was killed by signal 9", 0), 0u);
   EXPECT_FALSE(FindProcess(paths));
   EXPECT_FALSE(SendSignal(*found, SIGKILL)) << "the pidfd is of the one that ended";
   // The file still names a pid; say that it belongs to somebody else by now.
@@ -675,7 +691,7 @@
   one.descriptors = 100;
   auto process = StartProcess(one, paths, &error);
   ASSERT_TRUE(process) << error;
-  EXPECT_EQ(ReapProcess(*process), "exited with 0");
+  EXPECT_EQ(Awaited(*process), "exited with 0");
   std::ifstream log(paths.log);
   const std::string text((std::istreambuf_iterator<char>(log)), {});
   EXPECT_EQ(text, "n1 yes\n100\n5\n") << "standard streams, the lock, and the listing's own";
