Use one namespace scheme: fordlb is the module, badgerbridge::<package> the rest

The node, the settings and the drill were in fordlb, though they are not the module, and the two files of src/app in the node's namespace. Only names and includes move; node/module.h says which names of the module the node uses.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -25,11 +25,10 @@
 #include "node/proxy.h"
 #include "operator/operator_file.h"
 
-namespace fordlb::node {
+namespace badgerbridge::app {
 namespace {
 
-namespace operator_file = badgerbridge::operator_file;
-namespace control = badgerbridge::control;
+using namespace node;
 
 // SIGHUP: the file may name another discovery. All else of it, and all that is under way, stays; of a file
 // that is no good nothing is taken.
@@ -156,12 +155,12 @@
 }
 
 }  // namespace
-}  // namespace fordlb::node
+}  // namespace badgerbridge::app
 
 int main(int count, char** arguments) {
   std::signal(SIGPIPE, SIG_IGN);
   std::string path;
-  if (const auto done = fordlb::node::ReadArguments(count, arguments, &path)) return *done;
+  if (const auto done = badgerbridge::app::ReadArguments(count, arguments, &path)) return *done;
   try {
     badgerbridge::operator_file::OperatorFile operators;
     if (!path.empty()) {
@@ -170,8 +169,8 @@
       std::cerr << badgerbridge::operator_file::Lines(problems);
       if (!problems.empty()) return 1;
     }
-    const fordlb::node::Environment environment = [](const char* name) { return std::getenv(name); };
-    fordlb::node::Run(fordlb::node::ReadConfig(environment), operators, environment);
+    const badgerbridge::node::Environment environment = [](const char* name) { return std::getenv(name); };
+    badgerbridge::app::Run(badgerbridge::node::ReadConfig(environment), operators, environment);
   } catch (const std::exception& error) {
     std::cerr << "badgerbridge: " << error.what() << '\n';
     return 1;
--- a/src/app/membership_source.cpp
+++ b/src/app/membership_source.cpp
@@ -8,11 +8,11 @@
 #include "api/address.h"
 #include "membership/etcd_settings.h"
 
-namespace fordlb::node {
+namespace badgerbridge::app {
 namespace {
 
 namespace json = boost::json;
-namespace membership = badgerbridge::membership;
+using namespace node;
 using membership::EtcdSource;
 using membership::Member;
 using membership::Time;
@@ -20,7 +20,7 @@
 constexpr int kRestFor = 9;  // of the time that a list took: a tenth of the loop at most
 constexpr std::chrono::milliseconds kMostRest{50};  // what a drain may wait for it
 
-membership::Settings LedgerSettings(const badgerbridge::operator_file::Etcd& etcd) {
+membership::Settings LedgerSettings(const operator_file::Etcd& etcd) {
   membership::Settings settings;
   settings.sources = {{"etcd", etcd.authority, Time(5000), Time(60000)},
                       {"discovery", !etcd.authority, Time(10000), Time(60000)}};
@@ -36,7 +36,7 @@
 }  // namespace
 
 MembershipSource::MembershipSource(boost::asio::io_context& io, const Config& config,
-                                   const badgerbridge::operator_file::Etcd& settings, OnChange on_change)
+                                   const operator_file::Etcd& settings, OnChange on_change)
     : zones_(config.zones),
       kinds_(config.kinds),
       on_change_(std::move(on_change)),
@@ -76,7 +76,7 @@
   for (const Endpoint& endpoint : list.endpoints) {
     Member member;
     member.name = endpoint.name;
-    member.address = badgerbridge::api::ToText(endpoint.address);
+    member.address = api::ToText(endpoint.address);
     member.zone = NameAt(zones_, endpoint.entry.zone);
     member.kind = NameAt(kinds_, endpoint.entry.kind);
     member.group = endpoint.entry.cell;
@@ -215,4 +215,4 @@
                                             {"last_trouble", source_->feed().last_trouble()}}}};
 }
 
-}  // namespace fordlb::node
+}  // namespace badgerbridge::app
--- a/src/app/membership_source.h
+++ b/src/app/membership_source.h
@@ -2,8 +2,8 @@
 //
 // Puts the ledger between its sources and the proxy: discovery's lists and etcd's watch go in, what is
 // believed comes out as changes of the list. Only where the operator's file has an [etcd] table.
-#ifndef FORDLB_NODE_MEMBERSHIP_SOURCE_H_
-#define FORDLB_NODE_MEMBERSHIP_SOURCE_H_
+#ifndef BADGERBRIDGE_APP_MEMBERSHIP_SOURCE_H_
+#define BADGERBRIDGE_APP_MEMBERSHIP_SOURCE_H_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -19,23 +19,23 @@
 #include "node/discovery.h"
 #include "operator/operator_file.h"
 
-namespace fordlb::node {
+namespace badgerbridge::app {
 
 class MembershipSource {
  public:
-  using OnChange = std::function<void(const EndpointList&)>;
+  using OnChange = std::function<void(const node::EndpointList&)>;
 
   // Throws std::runtime_error, one line, for a password that can't be read. `on_change` is not called from
   // within.
-  MembershipSource(boost::asio::io_context& io, const Config& config,
-                   const badgerbridge::operator_file::Etcd& settings, OnChange on_change);
+  MembershipSource(boost::asio::io_context& io, const node::Config& config,
+                   const operator_file::Etcd& settings, OnChange on_change);
 
   // The list that the configuration gave: what the proxy works with until the authority has spoken.
-  void Known(const EndpointList& list);
-  void Discovered(const EndpointList& list);
+  void Known(const node::EndpointList& list);
+  void Discovered(const node::EndpointList& list);
 
   // The list as it is believed: what the proxy works with.
-  const ListReader& list() const { return names_; }
+  const node::ListReader& list() const { return names_; }
 
   // What is held back has really left: lets it go; how many there were.
   std::size_t Release();
@@ -44,28 +44,28 @@
   boost::json::value Describe() const;
 
  private:
-  void Take(badgerbridge::membership::Report report);
-  void Publish(const std::vector<badgerbridge::membership::Member>& changes);
+  void Take(membership::Report report);
+  void Publish(const std::vector<membership::Member>& changes);
   void Flush();
   void Arm();
 
   std::vector<std::string> zones_, kinds_;
   OnChange on_change_;
-  ListReader names_;  // of all that is believed, with the ids that discovery's reader gives
-  badgerbridge::membership::Ledger ledger_;
+  node::ListReader names_;  // of all that is believed, with the ids that discovery's reader gives
+  membership::Ledger ledger_;
   std::size_t etcd_ = 0, discovery_ = 1;
   std::vector<std::string> known_;  // of the configuration, and not spoken of by the authority yet
   bool authority_spoke_ = false;
   std::uint64_t told_ = 0;  // discovery's lists, numbered here
   bool held_said_ = false;
   using Clock = std::chrono::steady_clock;
-  std::map<std::string, badgerbridge::membership::Member> pending_;  // the newest of each, not told yet
+  std::map<std::string, membership::Member> pending_;  // the newest of each, not told yet
   Clock::time_point next_publish_{};
   bool flush_armed_ = false;
   boost::asio::steady_timer timer_, flush_;
-  std::optional<badgerbridge::membership::EtcdSource> source_;
+  std::optional<membership::EtcdSource> source_;
 };
 
-}  // namespace fordlb::node
+}  // namespace badgerbridge::app
 
-#endif  // FORDLB_NODE_MEMBERSHIP_SOURCE_H_
+#endif  // BADGERBRIDGE_APP_MEMBERSHIP_SOURCE_H_
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -12,7 +12,7 @@
 namespace json = boost::json;
 using fordlb::Duration;
 using fordlb::TimePoint;
-using fordlb::node::Tally;
+using node::Tally;
 
 constexpr std::size_t kMostBody = 4096;
 
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -31,11 +31,11 @@
  public:
   // What it reports on; all must outlive it.
   struct Subject {
-    const fordlb::node::Config& config;
-    const fordlb::node::NodeClock& clock;
-    fordlb::node::Proxy& proxy;
-    fordlb::node::Listener& listener;
-    const fordlb::node::ListReader& list;
+    const node::Config& config;
+    const node::NodeClock& clock;
+    node::Proxy& proxy;
+    node::Listener& listener;
+    const node::ListReader& list;
     const Reloads& reloads;
     std::function<void()> stop;
     std::function<boost::json::value()> members = nullptr;  // the ledger, where there is one
--- a/src/drill/codec.cpp
+++ b/src/drill/codec.cpp
@@ -7,7 +7,7 @@
 #include <type_traits>
 #include <utility>
 
-namespace fordlb::drill {
+namespace badgerbridge::drill {
 namespace {
 
 static_assert(std::endian::native == std::endian::little,
@@ -295,4 +295,4 @@
   return frame;
 }
 
-}  // namespace fordlb::drill
+}  // namespace badgerbridge::drill
--- a/src/drill/codec.h
+++ b/src/drill/codec.h
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // Frames of the simulator's wire: little-endian, packed. Reads batches of events, writes replies of actions.
-#ifndef FORDLB_DRILL_CODEC_H_
-#define FORDLB_DRILL_CODEC_H_
+#ifndef BADGERBRIDGE_DRILL_CODEC_H_
+#define BADGERBRIDGE_DRILL_CODEC_H_
 
 #include <cstdint>
 #include <iosfwd>
@@ -15,7 +15,9 @@
 
 #include "fordlb/balancer.h"
 
-namespace fordlb::drill {
+namespace badgerbridge::drill {
+
+using namespace fordlb;  // the wire is the module's interface in bytes
 
 // The input breaks the framing or a field; what() is one line.
 class MalformedInput : public std::runtime_error {
@@ -60,6 +62,6 @@
   std::string body_;
 };
 
-}  // namespace fordlb::drill
+}  // namespace badgerbridge::drill
 
-#endif  // FORDLB_DRILL_CODEC_H_
+#endif  // BADGERBRIDGE_DRILL_CODEC_H_
--- a/src/drill/host.cpp
+++ b/src/drill/host.cpp
@@ -7,7 +7,7 @@
 
 #include "settings/settings.h"
 
-namespace fordlb::drill {
+namespace badgerbridge::drill {
 
 std::string Host::Answer(const Batch& batch) {
   for (const Record& record : batch.records) Handle(batch.now, record);
@@ -24,8 +24,8 @@
   if (const auto* create = std::get_if<Create>(&record.message)) {
     live_.erase(instance);
     try {
-      live_.emplace(instance, Balancer(ParseSettings(create->config), create->seed));
-    } catch (const BadSettings& error) {
+      live_.emplace(instance, Balancer(settings::ParseSettings(create->config), create->seed));
+    } catch (const settings::BadSettings& error) {
       reply_.AddInternalError(instance, error.what());
     }
     return;
@@ -48,4 +48,4 @@
   if (told_.insert(what).second) complaints_ << "fordlb_drill: " << what << '\n';
 }
 
-}  // namespace fordlb::drill
+}  // namespace badgerbridge::drill
--- a/src/drill/host.h
+++ b/src/drill/host.h
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // Hosts one Balancer per live instance and carries events and actions between them and the wire.
-#ifndef FORDLB_DRILL_HOST_H_
-#define FORDLB_DRILL_HOST_H_
+#ifndef BADGERBRIDGE_DRILL_HOST_H_
+#define BADGERBRIDGE_DRILL_HOST_H_
 
 #include <iosfwd>
 #include <map>
@@ -12,7 +12,7 @@
 #include "drill/codec.h"
 #include "fordlb/balancer.h"
 
-namespace fordlb::drill {
+namespace badgerbridge::drill {
 
 class Host {
  public:
@@ -31,6 +31,6 @@
   ReplyWriter reply_;
 };
 
-}  // namespace fordlb::drill
+}  // namespace badgerbridge::drill
 
-#endif  // FORDLB_DRILL_HOST_H_
+#endif  // BADGERBRIDGE_DRILL_HOST_H_
--- a/src/drill/main.cpp
+++ b/src/drill/main.cpp
@@ -8,9 +8,9 @@
 int main() {
   std::ios::sync_with_stdio(false);
   std::cin.tie(nullptr);
-  fordlb::drill::Host host(std::cerr);
+  badgerbridge::drill::Host host(std::cerr);
   try {
-    while (const auto batch = fordlb::drill::ReadBatch(std::cin)) {
+    while (const auto batch = badgerbridge::drill::ReadBatch(std::cin)) {
       std::cout << host.Answer(*batch) << std::flush;
     }
   } catch (const std::exception& error) {
--- a/src/node/backend.cpp
+++ b/src/node/backend.cpp
@@ -11,7 +11,7 @@
 #include <unordered_set>
 #include <utility>
 
-namespace fordlb::node {
+namespace badgerbridge::node {
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
@@ -460,4 +460,4 @@
   std::erase_if(found->second.idle, [&](const auto& other) { return other.get() == connection; });
 }
 
-}  // namespace fordlb::node
+}  // namespace badgerbridge::node
--- a/src/node/backend.h
+++ b/src/node/backend.h
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // Connections to backends: a pool for each, and one attempt at a time on a connection.
-#ifndef FORDLB_NODE_BACKEND_H_
-#define FORDLB_NODE_BACKEND_H_
+#ifndef BADGERBRIDGE_NODE_BACKEND_H_
+#define BADGERBRIDGE_NODE_BACKEND_H_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -14,11 +14,10 @@
 #include <unordered_map>
 #include <vector>
 
-#include "fordlb/balancer.h"
 #include "node/clock.h"
 #include "node/discovery.h"
 
-namespace fordlb::node {
+namespace badgerbridge::node {
 
 // What goes on to a backend unchanged.
 struct Forwarded {
@@ -95,6 +94,6 @@
   std::uint64_t attempts_ = 0;
 };
 
-}  // namespace fordlb::node
+}  // namespace badgerbridge::node
 
-#endif  // FORDLB_NODE_BACKEND_H_
+#endif  // BADGERBRIDGE_NODE_BACKEND_H_
--- a/src/node/client.cpp
+++ b/src/node/client.cpp
@@ -14,7 +14,7 @@
 #include <optional>
 #include <utility>
 
-namespace fordlb::node {
+namespace badgerbridge::node {
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
@@ -563,4 +563,4 @@
   if (sessions_.empty() && stopped_) asio::post(io_, std::exchange(stopped_, nullptr));
 }
 
-}  // namespace fordlb::node
+}  // namespace badgerbridge::node
--- a/src/node/client.h
+++ b/src/node/client.h
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // The side of the clients: the listener, and a session for each connection.
-#ifndef FORDLB_NODE_CLIENT_H_
-#define FORDLB_NODE_CLIENT_H_
+#ifndef BADGERBRIDGE_NODE_CLIENT_H_
+#define BADGERBRIDGE_NODE_CLIENT_H_
 
 #include <array>
 #include <boost/asio/io_context.hpp>
@@ -22,7 +22,7 @@
 #include "node/config.h"
 #include "node/proxy.h"
 
-namespace fordlb::node {
+namespace badgerbridge::node {
 
 class Listener {
  public:
@@ -80,6 +80,6 @@
   std::function<void()> stopped_;
 };
 
-}  // namespace fordlb::node
+}  // namespace badgerbridge::node
 
-#endif  // FORDLB_NODE_CLIENT_H_
+#endif  // BADGERBRIDGE_NODE_CLIENT_H_
--- a/src/node/clock.h
+++ b/src/node/clock.h
@@ -2,14 +2,14 @@
 //
 // The one clock of a node: it reads as Unix time in milliseconds, so that discovery's start times need no
 // more than a cast, but is driven by the steady clock, so that module time never jumps.
-#ifndef FORDLB_NODE_CLOCK_H_
-#define FORDLB_NODE_CLOCK_H_
+#ifndef BADGERBRIDGE_NODE_CLOCK_H_
+#define BADGERBRIDGE_NODE_CLOCK_H_
 
 #include <chrono>
 
-#include "fordlb/balancer.h"
+#include "node/module.h"
 
-namespace fordlb::node {
+namespace badgerbridge::node {
 
 class NodeClock {
  public:
@@ -28,6 +28,6 @@
   Steady::time_point steady_ = Steady::now();
 };
 
-}  // namespace fordlb::node
+}  // namespace badgerbridge::node
 
-#endif  // FORDLB_NODE_CLOCK_H_
+#endif  // BADGERBRIDGE_NODE_CLOCK_H_
--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -11,7 +11,7 @@
 
 #include "settings/settings.h"
 
-namespace fordlb::node {
+namespace badgerbridge::node {
 namespace json = boost::json;
 namespace {
 
@@ -125,8 +125,8 @@
   config.discovery = Address(root, "/discovery", "ROUTER_DISCOVERY", environment);
   config.seed = Seed(root);
   try {
-    config.settings = ParseSettings(Flatten(*settings));
-  } catch (const BadSettings& bad) {
+    config.settings = settings::ParseSettings(Flatten(*settings));
+  } catch (const settings::BadSettings& bad) {
     throw BadConfig(bad.what());
   }
   config.classes = Names(*settings, "/classes");
@@ -164,4 +164,4 @@
   });
 }
 
-}  // namespace fordlb::node
+}  // namespace badgerbridge::node
--- a/src/node/config.h
+++ b/src/node/config.h
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // What a node is told at its start: environment and JSON into settings.
-#ifndef FORDLB_NODE_CONFIG_H_
-#define FORDLB_NODE_CONFIG_H_
+#ifndef BADGERBRIDGE_NODE_CONFIG_H_
+#define BADGERBRIDGE_NODE_CONFIG_H_
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/json/value.hpp>
@@ -15,9 +15,9 @@
 #include <vector>
 
 #include "api/address.h"
-#include "fordlb/balancer.h"
+#include "node/module.h"
 
-namespace fordlb::node {
+namespace badgerbridge::node {
 
 // what() is one line that names the fault.
 class BadConfig : public std::runtime_error {
@@ -50,8 +50,8 @@
 // Nested JSON as the path=value lines that ParseSettings reads.
 std::string Flatten(const boost::json::value& settings);
 
-using badgerbridge::api::ParseAddress;
+using api::ParseAddress;
 
-}  // namespace fordlb::node
+}  // namespace badgerbridge::node
 
-#endif  // FORDLB_NODE_CONFIG_H_
+#endif  // BADGERBRIDGE_NODE_CONFIG_H_
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -14,7 +14,7 @@
 #include <tuple>
 #include <unordered_set>
 
-namespace fordlb::node {
+namespace badgerbridge::node {
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
@@ -245,4 +245,4 @@
   return true;
 }
 
-}  // namespace fordlb::node
+}  // namespace badgerbridge::node
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // The list of backends: watches discovery, reconnects, and turns names into ids.
-#ifndef FORDLB_NODE_DISCOVERY_H_
-#define FORDLB_NODE_DISCOVERY_H_
+#ifndef BADGERBRIDGE_NODE_DISCOVERY_H_
+#define BADGERBRIDGE_NODE_DISCOVERY_H_
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -18,10 +18,9 @@
 #include <unordered_map>
 #include <vector>
 
-#include "fordlb/balancer.h"
 #include "node/config.h"
 
-namespace fordlb::node {
+namespace badgerbridge::node {
 
 struct Endpoint {
   std::string name;
@@ -110,6 +109,6 @@
   std::uint64_t turn_ = 0;  // of the newest Watch(): an older one ends at its next step
 };
 
-}  // namespace fordlb::node
+}  // namespace badgerbridge::node
 
-#endif  // FORDLB_NODE_DISCOVERY_H_
+#endif  // BADGERBRIDGE_NODE_DISCOVERY_H_
--- a/src/node/proxy.cpp
+++ b/src/node/proxy.cpp
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <iostream>
 
-namespace fordlb::node {
+namespace badgerbridge::node {
 namespace {
 
 constexpr Duration kAnswerMargin{5};      // an answer is on its way to the client for a while
@@ -183,4 +183,4 @@
   on_answer(std::move(answer));
 }
 
-}  // namespace fordlb::node
+}  // namespace badgerbridge::node
--- a/src/node/proxy.h
+++ b/src/node/proxy.h
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // Between the sockets and the module: events in, actions out, timers, and the table of requests.
-#ifndef FORDLB_NODE_PROXY_H_
-#define FORDLB_NODE_PROXY_H_
+#ifndef BADGERBRIDGE_NODE_PROXY_H_
+#define BADGERBRIDGE_NODE_PROXY_H_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -15,13 +15,12 @@
 #include <utility>
 #include <vector>
 
-#include "fordlb/balancer.h"
 #include "node/backend.h"
 #include "node/clock.h"
 #include "node/config.h"
 #include "node/discovery.h"
 
-namespace fordlb::node {
+namespace badgerbridge::node {
 
 struct Answer {
   unsigned status = 500;
@@ -99,6 +98,6 @@
   TimePoint armed_{Duration(1e300)};
 };
 
-}  // namespace fordlb::node
+}  // namespace badgerbridge::node
 
-#endif  // FORDLB_NODE_PROXY_H_
+#endif  // BADGERBRIDGE_NODE_PROXY_H_
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -8,7 +8,10 @@
 #include <optional>
 #include <string>
 
-namespace fordlb {
+namespace badgerbridge::settings {
+
+using namespace fordlb;  // the settings are the module's
+
 namespace {
 
 constexpr double kMost = 1e12;            // no count, time or rate of a deployment is larger
@@ -133,4 +136,4 @@
   return settings;
 }
 
-}  // namespace fordlb
+}  // namespace badgerbridge::settings
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -1,15 +1,15 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // Reads the path=value settings of the simulator's wire.
-#ifndef FORDLB_SETTINGS_SETTINGS_H_
-#define FORDLB_SETTINGS_SETTINGS_H_
+#ifndef BADGERBRIDGE_SETTINGS_SETTINGS_H_
+#define BADGERBRIDGE_SETTINGS_SETTINGS_H_
 
 #include <stdexcept>
 #include <string_view>
 
 #include "fordlb/balancer.h"
 
-namespace fordlb {
+namespace badgerbridge::settings {
 
 // A needed key is absent, or a key holds what it must not; what() names the key.
 class BadSettings : public std::runtime_error {
@@ -18,8 +18,8 @@
 };
 
 // Unknown keys are ignored; an absent optional key has its documented meaning.
-Settings ParseSettings(std::string_view text);
+fordlb::Settings ParseSettings(std::string_view text);
 
-}  // namespace fordlb
+}  // namespace badgerbridge::settings
 
-#endif  // FORDLB_SETTINGS_SETTINGS_H_
+#endif  // BADGERBRIDGE_SETTINGS_SETTINGS_H_
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -10,7 +10,7 @@
 
 #include "hex.h"
 
-namespace fordlb::drill {
+namespace badgerbridge::drill {
 namespace {
 
 using fordlb::testing::Hex;
@@ -174,4 +174,4 @@
 }
 
 }  // namespace
-}  // namespace fordlb::drill
+}  // namespace badgerbridge::drill
--- a/tests/control/control_test.cpp
+++ b/tests/control/control_test.cpp
@@ -19,8 +19,8 @@
 
 namespace asio = boost::asio;
 namespace json = boost::json;
-using namespace fordlb::node::testing;
-using fordlb::node::Config;
+using namespace badgerbridge::node::testing;
+using badgerbridge::node::Config;
 using Local = asio::local::stream_protocol;
 
 std::string Folder() {
--- a/tests/node_backend_test.cpp
+++ b/tests/node_backend_test.cpp
@@ -5,7 +5,7 @@
 
 #include "node_harness.h"
 
-namespace fordlb::node::testing {
+namespace badgerbridge::node::testing {
 namespace {
 
 constexpr ServerId kServer = 5;
@@ -450,4 +450,4 @@
 }
 
 }  // namespace
-}  // namespace fordlb::node::testing
+}  // namespace badgerbridge::node::testing
--- a/tests/node_config_test.cpp
+++ b/tests/node_config_test.cpp
@@ -7,7 +7,7 @@
 
 #include "node_harness.h"
 
-namespace fordlb::node::testing {
+namespace badgerbridge::node::testing {
 namespace {
 
 const Environment kNothing = [](const char*) { return nullptr; };
@@ -242,4 +242,4 @@
 }
 
 }  // namespace
-}  // namespace fordlb::node::testing
+}  // namespace badgerbridge::node::testing
--- a/tests/node_harness.h
+++ b/tests/node_harness.h
@@ -2,8 +2,8 @@
 //
 // Scripted peers on ephemeral loopback ports, and a node in this process. Everything runs on one io_context,
 // and a test waits for conditions only.
-#ifndef FORDLB_TESTS_NODE_HARNESS_H_
-#define FORDLB_TESTS_NODE_HARNESS_H_
+#ifndef BADGERBRIDGE_TESTS_NODE_HARNESS_H_
+#define BADGERBRIDGE_TESTS_NODE_HARNESS_H_
 
 #include <gtest/gtest.h>
 
@@ -25,7 +25,7 @@
 #include "node/config.h"
 #include "node/proxy.h"
 
-namespace fordlb::node::testing {
+namespace badgerbridge::node::testing {
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
@@ -215,6 +215,6 @@
   Listener listener;
 };
 
-}  // namespace fordlb::node::testing
+}  // namespace badgerbridge::node::testing
 
-#endif  // FORDLB_TESTS_NODE_HARNESS_H_
+#endif  // BADGERBRIDGE_TESTS_NODE_HARNESS_H_
--- a/tests/node_process_test.cpp
+++ b/tests/node_process_test.cpp
@@ -16,7 +16,7 @@
 
 #include "node_harness.h"
 
-namespace fordlb::node::testing {
+namespace badgerbridge::node::testing {
 namespace {
 
 // An address that no other test process uses.
@@ -226,4 +226,4 @@
 }
 
 }  // namespace
-}  // namespace fordlb::node::testing
+}  // namespace badgerbridge::node::testing
--- a/tests/node_proxy_test.cpp
+++ b/tests/node_proxy_test.cpp
@@ -5,7 +5,7 @@
 
 #include "node_harness.h"
 
-namespace fordlb::node::testing {
+namespace badgerbridge::node::testing {
 namespace {
 
 int Count(const std::string& text, const std::string& what) {
@@ -368,4 +368,4 @@
 }
 
 }  // namespace
-}  // namespace fordlb::node::testing
+}  // namespace badgerbridge::node::testing
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -7,9 +7,10 @@
 
 #include "sample_settings.h"
 
-namespace fordlb::drill {
+namespace badgerbridge::settings {
 namespace {
 
+using namespace fordlb;
 using fordlb::testing::kSampleSettings;
 
 std::string Without(const std::string& key) {
@@ -85,4 +86,4 @@
 }
 
 }  // namespace
-}  // namespace fordlb::drill
+}  // namespace badgerbridge::settings
