--- a/src/api/exchange.h
+++ b/src/api/exchange.h
@@ -23,12 +23,12 @@
   return error.message();
 }
 
-// Over a connected stream, whose time-out is set.
+// Over a stream that is connected, or is not for this error; its time-out is set.
 template <typename Stream>
-boost::asio::awaitable<Reply> Exchange(Stream& stream, std::string method, std::string target,
-                                       std::string body, std::chrono::milliseconds timeout) {
+boost::asio::awaitable<Reply> Exchange(Stream& stream, boost::beast::error_code error, std::string method,
+                                       std::string target, std::string body,
+                                       std::chrono::milliseconds timeout) {
   namespace http = boost::beast::http;
-  boost::beast::error_code error;
   auto token = boost::asio::redirect_error(boost::asio::use_awaitable, error);
   Reply reply;
   http::request<http::string_body> request;
@@ -40,15 +40,11 @@
   request.body() = std::move(body);
   request.keep_alive(false);
   request.prepare_payload();
-  co_await http::async_write(stream, request, token);
-  if (error) {
-    reply.error = Words(error, timeout);
-    co_return reply;
-  }
+  if (!error) co_await http::async_write(stream, request, token);
   boost::beast::flat_buffer buffer;
   http::response_parser<http::string_body> parser;
   parser.body_limit(kMostAnswer);
-  co_await http::async_read(stream, buffer, parser, token);
+  if (!error) co_await http::async_read(stream, buffer, parser, token);
   if (error) {
     reply.error = Words(error, timeout);
     co_return reply;
--- a/src/api/tls_client.cpp
+++ b/src/api/tls_client.cpp
@@ -37,12 +37,8 @@
   beast::get_lowest_layer(stream).expires_after(timeout);
   co_await beast::get_lowest_layer(stream).async_connect(where.address, token);
   if (!error) co_await stream.async_handshake(asio::ssl::stream_base::client, token);
-  if (error) {
-    reply.error = detail::Words(error, timeout);
-    co_return reply;
-  }
-  reply = co_await detail::Exchange(stream, std::move(method), std::move(target), std::move(body), timeout);
-  co_return reply;
+  co_return co_await detail::Exchange(stream, error, std::move(method), std::move(target), std::move(body),
+                                      timeout);
 }
 
 }  // namespace badgerbridge::api
--- a/src/api/unix_client.cpp
+++ b/src/api/unix_client.cpp
@@ -56,13 +56,9 @@
       co_await pause.async_wait(token);
     }
   }
-  if (error) {
-    reply.error = detail::Words(error, timeout);
-    co_return reply;
-  }
   stream.expires_at(due);
-  reply = co_await detail::Exchange(stream, std::move(method), std::move(target), std::move(body), timeout);
-  co_return reply;
+  co_return co_await detail::Exchange(stream, error, std::move(method), std::move(target), std::move(body),
+                                      timeout);
 }
 
 }  // namespace badgerbridge::api
