Begin the lab: the installation in virtual time, with the proxies' own core, and badgerlab

What the product promises is about hundreds of proxies and failures that meet; that could not be played. src/lab models clients, front, network, converters and discovery on one queue from one seed, round exchange::Exchange itself; a referee checks the four rules at each step from what happens to each request. Nine scenarios as TOML, badgerlab run and check.

--- a/src/api/version.cpp
+++ b/src/api/version.cpp
@@ -13,7 +13,7 @@
     text.append(before).append(name);
     before = ", ";
   }
-  if (before == " ") text += " nothing beyond the least";
+  if (before == " ") text += " everything";
   return text + "; Boost " BOOST_LIB_VERSION "\n";
 }
 
--- /dev/null
+++ b/src/lab/core.cpp
@@ -0,0 +1,38 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "lab/core.h"
+
+#include <utility>
+
+namespace badgerbridge::lab {
+namespace {
+
+using namespace fordlb;
+
+class Badgerbridge : public Core {
+ public:
+  Badgerbridge(const Settings& settings, std::uint64_t seed) : exchange_(settings, seed) {}
+  RequestId Take(TimePoint now, Submit submit, Actions* out) override {
+    return exchange_.Take(now, submit, out);
+  }
+  void Gone(TimePoint now, RequestId request, Actions* out) override { exchange_.Gone(now, request, out); }
+  void Ended(TimePoint now, const exchange::Send& attempt, Outcome outcome, Actions* out) override {
+    exchange_.Ended(now, attempt, outcome, out);
+  }
+  void List(TimePoint now, ListUpdate update, Actions* out) override {
+    exchange_.List(now, std::move(update), out);
+  }
+  void Wake(TimePoint now, Actions* out) override { exchange_.Wake(now, out); }
+  std::optional<TimePoint> NextWake() const override { return exchange_.NextWake(); }
+  const std::vector<exchange::Tally>& tallies() const override { return exchange_.tallies(); }
+
+ private:
+  exchange::Exchange exchange_;
+};
+
+}  // namespace
+
+std::unique_ptr<Core> MakeBadgerbridge(const Settings& settings, std::uint64_t seed) {
+  return std::make_unique<Badgerbridge>(settings, seed);
+}
+
+}  // namespace badgerbridge::lab
--- /dev/null
+++ b/src/lab/main.cpp
@@ -0,0 +1,127 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// badgerlab: plays a scenario in virtual time.
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <boost/json.hpp>
+#include <cstdio>
+#include <iostream>
+
+#include "api/version.h"
+#include "lab/scenario.h"
+#include "lab/world.h"
+
+namespace {
+
+using namespace badgerbridge;
+namespace json = boost::json;
+
+constexpr int kHeld = 0, kBroke = 1, kUsage = 2;
+
+std::string Hex(std::uint64_t word) {
+  char text[17];
+  std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(word));
+  return text;
+}
+
+json::object Describe(const lab::Model& model, std::uint64_t seed, const lab::Result& result) {
+  json::array classes;
+  for (std::size_t i = 0; i < result.classes.size(); ++i) {
+    const lab::ClassResult& c = result.classes[i];
+    classes.push_back(json::object{{"class", model.classes[i].name},
+                                   {"asked", c.asked},
+                                   {"served", c.served},
+                                   {"in_aim", c.in_aim},
+                                   {"refused", c.refused},
+                                   {"failed", c.failed},
+                                   {"left", c.left},
+                                   {"unreached", c.unreached},
+                                   {"cut_short", c.cut_short},
+                                   {"tries", c.tries},
+                                   {"worth_asked", c.worth_asked},
+                                   {"worth_served", c.worth_served},
+                                   {"p50_ms", c.latency.Quantile(0.5)},
+                                   {"p99_ms", c.latency.Quantile(0.99)},
+                                   {"p999_ms", c.latency.Quantile(0.999)}});
+  }
+  json::object all{{"scenario", model.name},
+                   {"seed", seed},
+                   {"utilization", model.Utilization()},
+                   {"worth_share", result.worth_share()},
+                   {"steps", result.steps},
+                   {"attempts", result.attempts},
+                   {"virtual_ms", result.length},
+                   {"digest", Hex(result.digest)},
+                   {"classes", std::move(classes)}};
+  if (result.breach)
+    all["breach"] = json::object{{"rule", lab::Name(result.breach->rule)},
+                                 {"step", result.breach->step},
+                                 {"what", result.breach->what}};
+  return all;
+}
+
+void Print(const lab::Model& model, std::uint64_t seed, const lab::Result& result) {
+  std::printf("%s, seed %llu: %.3f of the worth served, %llu steps, digest %s\n", model.name.c_str(),
+              static_cast<unsigned long long>(seed), result.worth_share(),
+              static_cast<unsigned long long>(result.steps), Hex(result.digest).c_str());
+  std::printf("%-12s %9s %8s %8s %8s %8s %8s %8s %8s\n", "class", "asked", "served", "in aim", "refused",
+              "failed", "p50 ms", "p99 ms", "tries");
+  for (std::size_t i = 0; i < result.classes.size(); ++i) {
+    const lab::ClassResult& c = result.classes[i];
+    const auto share = [&](std::uint64_t n) {
+      return c.asked > 0 ? 100 * static_cast<double>(n) / static_cast<double>(c.asked) : 0;
+    };
+    std::printf("%-12s %9llu %7.2f%% %7.2f%% %7.2f%% %7.2f%% %8.1f %8.1f %8.2f\n",
+                model.classes[i].name.c_str(), static_cast<unsigned long long>(c.asked), share(c.served),
+                share(c.in_aim), share(c.refused), share(c.failed), c.latency.Quantile(0.5),
+                c.latency.Quantile(0.99), share(c.tries) / 100);
+  }
+  if (!result.busy.empty()) {
+    auto busy = result.busy;
+    std::sort(busy.begin(), busy.end());
+    std::printf("converters busy: least %.2f, median %.2f, most %.2f\n", busy.front(), busy[busy.size() / 2],
+                busy.back());
+  }
+  if (result.breach)
+    std::printf("BROKEN: %s, at step %llu: %s\n", std::string(lab::Name(result.breach->rule)).c_str(),
+                static_cast<unsigned long long>(result.breach->step), result.breach->what.c_str());
+}
+
+}  // namespace
+
+int main(int count, char** arguments) {
+  CLI::App app("badgerlab: plays an installation in virtual time, with the proxies' own core in it");
+  app.footer(
+      "Exit codes: 0 the rules held; 1 one was broken; 2 usage, or a scenario that is not to be used.");
+  app.set_version_flag("--version", api::VersionText("badgerlab", {}));
+  app.set_help_all_flag("--help-all", "the same with each command's own options");
+  app.require_subcommand(1);
+  std::string path, output = "table";
+  std::uint64_t seed = 1, ties = 0, most_steps = 1000000000;
+  auto* run = app.add_subcommand("run", "play a scenario once");
+  run->add_option("scenario", path, "the scenario file")->required();
+  run->add_option("--seed", seed, "of all that is drawn (1)");
+  run->add_option("--ties", ties, "another order of what happens at the same moment");
+  run->add_option("--most-steps", most_steps, "ends the run after so many events (1000000000)");
+  run->add_option("-o,--output", output, "table or json")->check(CLI::IsMember({"table", "json"}));
+  auto* check = app.add_subcommand("check", "check a scenario, and play nothing");
+  check->add_option("scenario", path, "the scenario file")->required();
+  try {
+    app.parse(count, arguments);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? kHeld : kUsage;
+  }
+  operator_file::Problems problems;
+  const lab::Model model = lab::LoadScenario(path, problems);
+  std::cerr << operator_file::Lines(problems);
+  if (!problems.empty()) return kUsage;
+  if (check->parsed()) return kHeld;
+  lab::World world(model, seed, lab::MakeBadgerbridge, ties);
+  const lab::Result result = world.Run(most_steps);
+  if (output == "json") {
+    std::cout << json::serialize(Describe(model, seed, result)) << '\n';
+  } else {
+    Print(model, seed, result);
+  }
+  return result.breach ? kBroke : kHeld;
+}
--- /dev/null
+++ b/src/lab/model.h
@@ -0,0 +1,87 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// An installation, its load and what happens to it, as plain values: what a scenario file says, or a test.
+// All times in ms of virtual time from the start of the run.
+#ifndef BADGERBRIDGE_LAB_MODEL_H_
+#define BADGERBRIDGE_LAB_MODEL_H_
+
+#include <string>
+#include <vector>
+
+#include "fordlb/balancer.h"
+#include "lab/converter.h"
+
+namespace badgerbridge::lab {
+
+struct ClassModel {
+  std::string name;
+  fordlb::ClassSettings rules;
+  double share = 1;  // of the arrivals, by weight
+  Shape work;        // ms on a standard core
+  bool hinted = true;
+};
+
+struct ClientModel {
+  double per_second = 100;  // of first tries, all classes together; Poisson
+  int tries = 1;            // 1: nobody comes again
+  bool honours_retry_after = true;
+  Shape pause{Shape::Kind::kExponential, 100, 1, {}};  // before another try that nothing was said about
+  double leaves = 0;  // share of requests whose client gives up at an even moment of its deadline
+};
+
+struct NetworkModel {
+  Shape latency{Shape::Kind::kConstant, 0.25, 1, {}};  // one way
+  Duration connect_timeout{250};
+  Duration front_notices{2000};  // that a proxy has died
+  // Lists: from a change to a proxy's being told, drawn for each.
+  Shape lag{Shape::Kind::kExponential, 300, 1, {}};
+  double reset_share = 0;  // of requests whose connection is reset once it has been written
+};
+
+// What happens, at `at`, to whom.
+struct Happening {
+  enum class Kind {
+    kDrain,       // converters: told to drain
+    kStop,        // converters: die; listed as gone
+    kStart,       // converters: start as new processes, cold; listed as ready
+    kSlow,        // converters: by `value`
+    kWrong,       // converters: this share of answers
+    kPause,       // converters: for `value` ms
+    kKill,        // proxies: die at once; what they hold is reset
+    kRevive,      // proxies: start again with the list as it is
+    kLoad,        // the arrivals by this factor of the model's
+    kCut,         // between proxies and converters of `zone` and those of other zones: silence
+    kHeal,        // ends the cut of `zone`
+    kStaleLists,  // proxies are told nothing, until kFreshLists
+    kFreshLists,
+  };
+  double at = 0;
+  Kind kind = Kind::kDrain;
+  int zone = -1;     // -1: of every zone
+  double share = 1;  // of these, evenly spread over their numbers
+  double value = 1;
+};
+
+struct Model {
+  std::string name;
+  double length = 60000;  // of the load; what is open then is played to its end
+  int zones = 1, proxies = 1, converters = 1;
+  ConverterModel converter;
+  std::vector<ClassModel> classes;
+  ClientModel clients;
+  NetworkModel network;
+  int max_attempts = 4;
+  Duration max_retry_after{0};
+  Duration drain_grace{500};
+  int groups = 2;  // of converters that drop each other's repeats of a key; by their numbers
+  double price_cross_zone = 0;
+  std::vector<Happening> happenings;  // by time
+
+  // Work that all converters do a ms once warm, over what is asked of them.
+  double Utilization() const;
+  fordlb::Settings SettingsOf(int proxy) const;
+};
+
+}  // namespace badgerbridge::lab
+
+#endif  // BADGERBRIDGE_LAB_MODEL_H_
--- /dev/null
+++ b/src/lab/referee.cpp
@@ -0,0 +1,77 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "lab/referee.h"
+
+#include <utility>
+
+namespace badgerbridge::lab {
+
+std::string_view Name(Rule rule) {
+  switch (rule) {
+    case Rule::kLost:
+      return "no request is lost";
+    case Rule::kTwice:
+      return "nothing takes effect twice";
+    case Rule::kDrain:
+      return "drains are kept";
+    case Rule::kCold:
+      return "a cold converter is not pushed over";
+    case Rule::kTotals:
+      return "totals add up";
+  }
+  return "";
+}
+
+void Referee::Break(Rule rule, TimePoint now, std::uint64_t step, std::string what) {
+  if (!breach_) breach_ = Breach{rule, now, step, std::move(what)};
+}
+
+void Referee::Answered(TimePoint now, std::uint64_t step, Trace& trace, const fordlb::ClassSettings& rules,
+                       bool refused) {
+  if (trace.answered) Break(Rule::kLost, now, step, "a second answer");
+  if (trace.left) return;
+  if (now > trace.due) Break(Rule::kLost, now, step, "an answer after the client's time");
+  trace.answered = true;
+  trace.refused = refused && rules.effect == fordlb::Effect::kUnsafe;
+  if (trace.refused && trace.effects > 0)
+    Break(Rule::kTwice, now, step, "a refusal of what has taken effect");
+}
+
+void Referee::TimeUp(TimePoint now, std::uint64_t step, const Trace& trace, bool proxy_lives) {
+  if (!trace.answered && !trace.left && proxy_lives)
+    Break(Rule::kLost, now, step, "no answer in the client's time from proxy " + std::to_string(trace.proxy));
+}
+
+void Referee::Sent(TimePoint now, std::uint64_t step, const Trace& trace, std::optional<TimePoint> told_off,
+                   std::uint32_t converter) {
+  if (trace.answered) Break(Rule::kLost, now, step, "an attempt after the final answer");
+  if (trace.attempts_out > 1) Break(Rule::kTwice, now, step, "two attempts of a request out at a time");
+  if (told_off && now - *told_off > drain_grace_)
+    Break(Rule::kDrain, now, step,
+          "proxy " + std::to_string(trace.proxy) + " sends to converter " + std::to_string(converter) + " " +
+              std::to_string(static_cast<long>((now - *told_off).count())) + " ms after it was told off");
+}
+
+bool Referee::Effect(TimePoint now, std::uint64_t step, Trace& trace, const fordlb::ClassSettings& rules,
+                     int group) {
+  if (trace.refused) Break(Rule::kTwice, now, step, "what was refused takes effect");
+  const bool first = trace.effects == 0;
+  const bool dropped = !first && rules.effect == fordlb::Effect::kKeyed && group == trace.group &&
+                       now - trace.effect_at <= rules.window;
+  if (dropped) return false;
+  ++trace.effects;
+  if (first) trace.group = group, trace.effect_at = now;
+  if (!first && rules.effect != fordlb::Effect::kSafe)
+    Break(Rule::kTwice, now, step, "a second effect of a request");
+  return true;
+}
+
+void Referee::Fell(TimePoint now, std::uint64_t step, std::uint32_t converter) {
+  Break(Rule::kCold, now, step, "converter " + std::to_string(converter) + " was pushed over while cold");
+}
+
+void Referee::Totals(TimePoint now, std::uint64_t step, bool add_up, std::uint32_t proxy) {
+  if (!add_up)
+    Break(Rule::kTotals, now, step, "the tally of proxy " + std::to_string(proxy) + " does not add up");
+}
+
+}  // namespace badgerbridge::lab
--- /dev/null
+++ b/src/lab/referee.h
@@ -0,0 +1,78 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The four rules, checked at each step of a run from what really happened in the model, not from what a core
+// says of itself. The first breach ends the run.
+#ifndef BADGERBRIDGE_LAB_REFEREE_H_
+#define BADGERBRIDGE_LAB_REFEREE_H_
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "fordlb/balancer.h"
+
+namespace badgerbridge::lab {
+
+using fordlb::Duration;
+using fordlb::TimePoint;
+
+enum class Rule {
+  kLost,    // what a running proxy took gets one final answer in the client's time, and nothing more is sent
+            // for it
+  kTwice,   // nothing takes effect twice, and a refusal says that nothing did
+  kDrain,   // nothing new to a converter later than the grace after the proxy was told
+  kCold,    // a cold converter is not pushed over
+  kTotals,  // taken = served + refused + failed + open
+};
+std::string_view Name(Rule rule);
+
+struct Breach {
+  Rule rule = Rule::kLost;
+  TimePoint at{};
+  std::uint64_t step = 0;
+  std::string what;  // one line
+};
+
+// A request, from its sending to the moment at which nothing of it is under way.
+struct Trace {
+  int request_class = 0;
+  std::uint32_t proxy = 0, life = 0;  // which, and which of its lives
+  TimePoint sent{}, due{};
+  int attempts_out = 0;           // that its proxy still waits for
+  int records = 0;                // of attempts that are out, or run still
+  fordlb::RequestId request = 0;  // the proxy's number of it
+  int effects = 0, group = -1;    // of the converter where it first took effect
+  TimePoint effect_at{};
+  bool answered = false, refused = false, left = false, closed = false;
+  std::uint64_t key = 0, intent = 0;
+  double work = 0;
+};
+
+class Referee {
+ public:
+  explicit Referee(Duration drain_grace) : drain_grace_(drain_grace) {}
+
+  void Answered(TimePoint now, std::uint64_t step, Trace& trace, const fordlb::ClassSettings& rules,
+                bool refused);
+  // Its client's time is up.
+  void TimeUp(TimePoint now, std::uint64_t step, const Trace& trace, bool proxy_lives);
+  void Sent(TimePoint now, std::uint64_t step, const Trace& trace, std::optional<TimePoint> told_off,
+            std::uint32_t converter);
+  // An attempt of it begins to run. False: a repeat that the group drops, and answers without an effect.
+  bool Effect(TimePoint now, std::uint64_t step, Trace& trace, const fordlb::ClassSettings& rules, int group);
+  void Fell(TimePoint now, std::uint64_t step, std::uint32_t converter);
+  void Totals(TimePoint now, std::uint64_t step, bool add_up, std::uint32_t proxy);
+
+  const std::optional<Breach>& breach() const { return breach_; }
+
+ private:
+  void Break(Rule rule, TimePoint now, std::uint64_t step, std::string what);
+  const Duration drain_grace_;
+  std::optional<Breach> breach_;
+};
+
+}  // namespace badgerbridge::lab
+
+#endif  // BADGERBRIDGE_LAB_REFEREE_H_
--- /dev/null
+++ b/src/lab/scenario.cpp
@@ -0,0 +1,169 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "lab/scenario.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "operator/table_reader.h"
+
+namespace badgerbridge::lab {
+namespace {
+
+using namespace fordlb;
+using operator_file::Problems;
+using operator_file::TableReader;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kDay{24 * 3600 * 1000};
+
+// One of these words, by its place in the list.
+template <std::size_t n>
+std::size_t OneOf(TableReader& table, std::string_view key, const std::array<std::string_view, n>& words,
+                  std::size_t otherwise) {
+  const std::string word = table.Text(key, std::string(words[otherwise]));
+  const auto found = std::find(words.begin(), words.end(), word);
+  if (found != words.end()) return static_cast<std::size_t>(found - words.begin());
+  std::string known;
+  for (const std::string_view w : words) known += (known.empty() ? "" : ", ") + std::string(w);
+  table.Report(key, "= \"" + word.substr(0, 60) + "\" is not known; one of " + known + " would be right");
+  return otherwise;
+}
+
+double Ms(milliseconds time) { return static_cast<double>(time.count()); }
+
+// Keys PREFIX (a word), PREFIX_us or _mean, PREFIX_spread_percent.
+Shape ReadShape(TableReader& table, const std::string& prefix, Shape shape) {
+  constexpr std::array<std::string_view, 4> kKinds = {"constant", "exponential", "lognormal", "pareto"};
+  shape.kind = static_cast<Shape::Kind>(OneOf(table, prefix, kKinds, static_cast<std::size_t>(shape.kind)));
+  shape.mean = static_cast<double>(
+                   table.Whole(prefix + "_us", static_cast<std::int64_t>(shape.mean * 1000), 0, 3600000000)) /
+               1000;
+  const bool pareto = shape.kind == Shape::Kind::kPareto;
+  shape.spread = static_cast<double>(
+                     table.Whole(prefix + "_spread_percent", pareto ? 250 : 100, pareto ? 101 : 1, 10000)) /
+                 100;
+  return shape;
+}
+
+void ReadClass(TableReader& table, ClassModel* c) {
+  constexpr std::array<std::string_view, 3> kEffects = {"safe", "keyed", "unsafe"};
+  constexpr std::array<std::string_view, 3> kGroups = {"all", "zone", "group"};
+  table.Require("name", "the class's name");
+  c->name = table.Text("name");
+  c->rules.effect = static_cast<Effect>(OneOf(table, "effect", kEffects, 0));
+  c->rules.group = static_cast<Group>(OneOf(table, "group", kGroups, 2));
+  c->rules.window = Duration(Ms(table.Duration("window", milliseconds(10000), milliseconds(0), kDay)));
+  c->rules.aim = Duration(Ms(table.Duration("aim", milliseconds(500), milliseconds(1), kDay)));
+  c->rules.deadline =
+      Duration(Ms(table.Duration("deadline", milliseconds(1500), milliseconds(10), milliseconds(600000))));
+  if (c->rules.deadline < c->rules.aim)
+    table.Report("deadline", "is shorter than aim; at least as long would be right");
+  c->rules.worth = static_cast<double>(table.Whole("worth", 1, 0, 1000000));
+  c->rules.late_worth = static_cast<double>(table.Whole("late_worth_percent", 30, 0, 100)) / 100;
+  c->share = static_cast<double>(table.Whole("share", 1, 1, 1000000));
+  c->hinted = table.Flag("hinted", true);
+  c->work = ReadShape(table, "work", {Shape::Kind::kLognormal, 20, 1, {}});
+}
+
+void ReadHappening(TableReader& table, const Model& model, Happening* h) {
+  constexpr std::array<std::string_view, 13> kKinds = {"drain", "stop",        "start",      "slow", "wrong",
+                                                       "pause", "kill",        "revive",     "load", "cut",
+                                                       "heal",  "stale_lists", "fresh_lists"};
+  table.Require("at", "when it happens");
+  table.Require("what", "what happens");
+  h->at = Ms(table.Duration("at", milliseconds(0), milliseconds(0), kDay));
+  h->kind = static_cast<Happening::Kind>(OneOf(table, "what", kKinds, 0));
+  h->zone = static_cast<int>(table.Whole("zone", -1, -1, model.zones - 1));
+  h->share = static_cast<double>(table.Whole("share_percent", 100, 1, 100)) / 100;
+  const bool pause = h->kind == Happening::Kind::kPause, wrong = h->kind == Happening::Kind::kWrong;
+  if (pause) {
+    h->value = Ms(table.Duration("for", milliseconds(1000), milliseconds(0), kDay));
+  } else {
+    h->value =
+        static_cast<double>(table.Whole("by_percent", 100, wrong || h->kind == Happening::Kind::kLoad ? 0 : 1,
+                                        wrong ? 100 : 100000)) /
+        100;
+  }
+}
+
+}  // namespace
+
+Model ParseScenario(std::string_view text, const std::string& file, Problems& problems) {
+  Model model;
+  const auto root = operator_file::ParseToml(text, file, problems);
+  if (!root) return model;
+  TableReader top(*root, "", file, problems);
+  model.name = top.Text("name", file);
+  model.length = Ms(top.Duration("length", milliseconds(60000), milliseconds(1), kDay));
+  if (const auto table = top.Table("installation")) {
+    model.zones = static_cast<int>(table->Whole("zones", 1, 1, kMostZones));
+    model.proxies = static_cast<int>(table->Whole("proxies", 3, 1, kMostProxies));
+    model.converters = static_cast<int>(table->Whole("converters", 10, 1, kMostConverters));
+    model.groups = static_cast<int>(table->Whole("groups", 2, 1, kMostConverters));
+    model.max_attempts = static_cast<int>(table->Whole("max_attempts", 4, 1, 4));
+    model.max_retry_after = Duration(
+        Ms(table->Duration("max_retry_after", milliseconds(600), milliseconds(0), milliseconds(60000))));
+    model.drain_grace =
+        Duration(Ms(table->Duration("drain_grace", milliseconds(500), milliseconds(0), milliseconds(60000))));
+    model.price_cross_zone = static_cast<double>(table->Whole("price_cross_zone_percent", 10, 0, 1000)) / 100;
+    table->Finish();
+  } else if (!top.Has("installation")) {
+    top.Require("installation", "a table with proxies, converters and zones");
+  }
+  if (const auto table = top.Table("converter")) {
+    ConverterModel& c = model.converter;
+    c.slots = static_cast<int>(table->Whole("slots", 8, 1, 10000));
+    c.queue = static_cast<int>(table->Whole("queue", 64, 0, 1000000));
+    c.speed = static_cast<double>(table->Whole("speed_percent", 100, 1, 100000)) / 100;
+    c.cold_from = static_cast<double>(table->Whole("cold_from_percent", 16, 1, 100)) / 100;
+    c.warm_up =
+        Duration(Ms(table->Duration("warm_up", milliseconds(24000), milliseconds(0), milliseconds(3600000))));
+    c.fall_multiple = static_cast<double>(table->Whole("fall_multiple_percent", 250, 0, 100000)) / 100;
+    c.overload_for = Duration(
+        Ms(table->Duration("overload_for", milliseconds(3000), milliseconds(100), milliseconds(600000))));
+    table->Finish();
+  }
+  if (const auto table = top.Table("clients")) {
+    model.clients.per_second =
+        static_cast<double>(table->Whole("per_second", 100, 1, static_cast<std::int64_t>(kMostPerSecond)));
+    model.clients.tries = static_cast<int>(table->Whole("tries", 1, 1, 100));
+    model.clients.honours_retry_after = table->Flag("honours_retry_after", true);
+    model.clients.pause = ReadShape(*table, "pause", model.clients.pause);
+    model.clients.leaves = static_cast<double>(table->Whole("leaves_percent", 0, 0, 100)) / 100;
+    table->Finish();
+  }
+  if (const auto table = top.Table("network")) {
+    model.network.latency = ReadShape(*table, "latency", model.network.latency);
+    model.network.lag = ReadShape(*table, "lag", model.network.lag);
+    model.network.connect_timeout = Duration(
+        Ms(table->Duration("connect_timeout", milliseconds(250), milliseconds(1), milliseconds(60000))));
+    model.network.front_notices = Duration(
+        Ms(table->Duration("front_notices", milliseconds(2000), milliseconds(0), milliseconds(600000))));
+    model.network.reset_share = static_cast<double>(table->Whole("reset_percent", 0, 0, 100)) / 100;
+    table->Finish();
+  }
+  for (const auto& table : top.Tables("class")) {
+    ReadClass(*table, &model.classes.emplace_back());
+    table->Finish();
+  }
+  if (!top.Has("class")) top.Require("class", "a [[class]] of requests");
+  for (const auto& table : top.Tables("happening")) {
+    ReadHappening(*table, model, &model.happenings.emplace_back());
+    table->Finish();
+  }
+  if (model.happenings.size() > static_cast<std::size_t>(kMostHappenings))
+    top.Report("happening",
+               "stands there too often; at most " + std::to_string(kMostHappenings) + " would be right");
+  std::stable_sort(model.happenings.begin(), model.happenings.end(),
+                   [](const Happening& a, const Happening& b) { return a.at < b.at; });
+  top.Finish();
+  return model;
+}
+
+Model LoadScenario(const std::string& path, Problems& problems) {
+  const auto text = operator_file::ReadFile(path, kMostScenarioBytes, problems);
+  return text ? ParseScenario(*text, path, problems) : Model{};
+}
+
+}  // namespace badgerbridge::lab
--- /dev/null
+++ b/src/lab/world.h
@@ -0,0 +1,131 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The whole installation in virtual time: clients, a front, proxies with the product's own core, a network,
+// converters and discovery, from one seed on one queue. docs/lab.md says what is modelled and what is left
+// out.
+#ifndef BADGERBRIDGE_LAB_WORLD_H_
+#define BADGERBRIDGE_LAB_WORLD_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "lab/core.h"
+#include "lab/event_queue.h"
+#include "lab/histogram.h"
+#include "lab/model.h"
+#include "lab/random.h"
+#include "lab/referee.h"
+
+namespace badgerbridge::lab {
+
+// Of first tries and their worth: each is in exactly one of served, refused, failed, left, unreached and
+// cut_short once the run has ended. A client that comes again after a refusal or a failure is one still.
+struct ClassResult {
+  std::uint64_t asked = 0, served = 0, in_aim = 0, refused = 0, failed = 0, left = 0;
+  std::uint64_t unreached = 0;  // no proxy took it
+  std::uint64_t cut_short = 0;  // its proxy died
+  std::uint64_t tries = 0;
+  double worth_asked = 0, worth_served = 0;
+  Histogram latency;  // of those served, from the first try on
+};
+
+struct Result {
+  std::vector<ClassResult> classes;
+  std::uint64_t steps = 0, attempts = 0, repeats_dropped = 0;
+  double length = 0;         // ms of virtual time, to the last event
+  std::vector<double> busy;  // of each converter: its slots' time in use, a share of all
+  std::uint64_t digest = 0;  // of every event that a client or converter saw, in order
+  std::optional<Breach> breach;
+  double worth_share() const;
+};
+
+class World : private Actor, private Converter::Watcher {
+ public:
+  World(const Model& model, std::uint64_t seed, CoreFactory factory = MakeBadgerbridge,
+        std::uint64_t tie_seed = 0);
+  ~World();
+  World(const World&) = delete;
+  World& operator=(const World&) = delete;
+
+  // Plays the load to its end, and what is open then; stops at the first breach, or after `most_steps`.
+  Result Run(std::uint64_t most_steps = UINT64_MAX);
+
+ private:
+  enum What : std::uint32_t {
+    kArrive,
+    kTryAgain,
+    kReachProxy,
+    kAnswered,
+    kTimeUp,
+    kLeave,
+    kReachConverter,
+    kAttemptEnds,
+    kAttemptTimesOut,
+    kWake,
+    kTold,
+    kHappen,
+    kNoticed
+  };
+  struct Proxy;
+  struct Attempt;
+  struct Intent;
+
+  void On(TimePoint now, std::uint32_t what, std::uint64_t a, std::uint64_t b) override;
+  void Began(TimePoint now, std::size_t converter, JobId job) override;
+  void Finished(TimePoint now, std::size_t converter, JobId job, bool right) override;
+  void Dropped(TimePoint now, std::size_t converter, JobId job) override;
+
+  // Clients.
+  void Arrive(TimePoint now);
+  void Try(TimePoint now, std::uint64_t intent);
+  void Ended(TimePoint now, std::uint64_t trace, exchange::Ending ending, double retry_after);
+  void Again(TimePoint now, std::uint64_t intent, double retry_after, exchange::Ending ending);
+  int PickProxy(int zone);
+  // Proxies.
+  void ReachProxy(TimePoint now, std::uint64_t trace);
+  void Carry(TimePoint now, std::size_t proxy);
+  void Send(TimePoint now, std::size_t proxy, const exchange::Send& send);
+  void Tell(TimePoint now, std::size_t proxy, std::uint64_t change);
+  void Kill(TimePoint now, std::size_t proxy);
+  void Revive(TimePoint now, std::size_t proxy);
+  void EndAttempt(TimePoint now, std::uint64_t attempt, fordlb::Outcome outcome);
+  // Network and discovery.
+  bool Cut(int proxy_zone, int converter_zone) const;
+  double Latency();
+  void List(TimePoint now, std::size_t converter, fordlb::ServerState state);
+  void ReachConverter(TimePoint now, std::uint64_t attempt);
+  void Happen(TimePoint now, const Happening& happening);
+  void Forget(std::uint64_t attempt);
+  void Release(std::uint64_t trace);
+  void Digest(std::uint64_t word);
+
+  const Model model_;
+  const std::uint64_t seed_;
+  const CoreFactory factory_;
+  EventQueue queue_;
+  Referee referee_;
+  Random arrivals_, works_, network_, lists_, clients_;
+  std::vector<double> class_shares_;  // running sums
+  std::vector<std::unique_ptr<Converter>> converters_;
+  std::vector<Proxy> proxies_;
+  std::vector<std::vector<std::uint32_t>> fronts_;  // of each zone: the proxies that it deals to
+  std::vector<fordlb::ServerEntry> changes_;        // all that discovery wrote, in order
+  std::vector<fordlb::ServerEntry> listed_;         // as discovery has it now
+  std::vector<std::pair<std::size_t, std::uint64_t>> held_back_;  // while lists are stale: whom, and what
+  std::unordered_map<std::uint64_t, Trace> traces_;
+  std::unordered_map<std::uint64_t, Attempt> attempts_;
+  std::unordered_map<std::uint64_t, Intent> intents_;
+  std::vector<bool> cut_;  // zones
+  bool stale_lists_ = false;
+  double load_ = 1;
+  std::uint64_t next_trace_ = 0, next_attempt_ = 0, next_intent_ = 0;
+  Result result_;
+};
+
+}  // namespace badgerbridge::lab
+
+#endif  // BADGERBRIDGE_LAB_WORLD_H_
--- a/tests/install_test.sh
+++ b/tests/install_test.sh
@@ -23,14 +23,14 @@
 
 prefix=$work/prefix
 expect "installs into an empty prefix" cmake --install "$build" --prefix "$prefix"
-for file in bin/badgerbridge bin/badgeragent bin/badgerctl lib/systemd/system/badgeragent.service \
+for file in bin/badgerbridge bin/badgeragent bin/badgerctl bin/badgerlab share/badgerbridge/scenarios/calm.toml lib/systemd/system/badgeragent.service \
   lib/systemd/system/badgerbridge@.service lib/sysusers.d/badgerbridge.conf etc/badgerbridge/operator.toml \
   etc/badgerbridge/fleet.toml etc/badgerbridge/context.toml share/man/man1/badgerbridge.1 \
-  share/man/man1/badgeragent.1 share/man/man1/badgerctl.1 share/bash-completion/completions/badgerctl \
+  share/man/man1/badgeragent.1 share/man/man1/badgerctl.1 share/man/man1/badgerlab.1 share/bash-completion/completions/badgerctl \
   include/fordlb/balancer.h share/doc/fordlb/README.md; do
   expect "$file is there" test -s "$prefix/$file"
 done
-for program in badgerbridge badgeragent badgerctl; do
+for program in badgerbridge badgeragent badgerctl badgerlab; do
   expect "$program --version tells version and what is built in" \
     bash -c "'$prefix/bin/$program' --version | tr '\n' ' ' | grep -q '^$program [0-9.]* built in: [a-zA-Z]'"
   expect "$program.1 is a manual page with its options" \
@@ -43,6 +43,8 @@
 for file in operator fleet context; do
   expect "badgerctl check $file.toml" "$prefix/bin/badgerctl" check "$prefix/etc/badgerbridge/$file.toml"
 done
+expect "badgerlab plays an installed scenario" \
+  "$prefix/bin/badgerlab" run "$prefix/share/badgerbridge/scenarios/calm.toml" --most-steps 10000
 expect "the completion is bash" bash -n "$prefix/share/bash-completion/completions/badgerctl"
 expect "no unit is left with a place to fill in" bash -c "! grep -q '@BADGER' '$prefix'/lib/systemd/system/*"
 expect "the agent's unit leaves its instances alone" \
--- /dev/null
+++ b/tests/lab/scenarios_test.sh
@@ -0,0 +1,32 @@
+#!/bin/bash
+# SPDX-License-Identifier: Apache-2.0
+#
+# scenarios_test.sh BADGERLAB: every shipped scenario, twice in different processes, its first 150,000 events: the rules
+# hold, and both runs are the same to the byte. And what is no scenario gets a line and exit code 2.
+set -euo pipefail
+lab=$1
+scenarios=$(cd "$(dirname "$0")/../../scenarios" && pwd)
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+passed=0
+for file in "$scenarios"/*.toml; do
+  for turn in 1 2; do
+    if ! "$lab" run "$file" --most-steps 150000 -o json >"$work/$turn" 2>"$work/error"; then
+      echo "FAILED: $file: $(cat "$work/$turn" "$work/error")"
+      exit 1
+    fi
+  done
+  cmp "$work/1" "$work/2"
+  grep -q '"steps":150000,' "$work/1"
+  passed=$((passed + 1))
+done
+[ "$passed" -ge 9 ]
+echo 'length = "5 parsecs"' >"$work/bad.toml"
+for command in "run $work/bad.toml" "check $work/bad.toml" "run $work/none.toml" "run" "fly" "run $scenarios/calm.toml -o xml"; do
+  code=0
+  # shellcheck disable=SC2086
+  "$lab" $command >"$work/out" 2>"$work/error" || code=$?
+  [ "$code" = 2 ] && [ -s "$work/error" ] || { echo "FAILED: $command: exit code $code"; exit 1; }
+  passed=$((passed + 1))
+done
+echo "$passed passed, 0 failed"
--- /dev/null
+++ b/tests/lab/world_test.cpp
@@ -0,0 +1,257 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "lab/world.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+
+#include "lab/scenario.h"
+
+namespace badgerbridge::lab {
+namespace {
+
+using namespace fordlb;
+using Kind = Happening::Kind;
+
+ClassModel Class(const char* name, Effect effect, double worth, double share) {
+  ClassModel c;
+  c.name = name;
+  c.rules.effect = effect;
+  c.rules.group = Group::kCell;
+  c.rules.window = Duration(10000);
+  c.rules.aim = Duration(300);
+  c.rules.deadline = Duration(1000);
+  c.rules.worth = worth;
+  c.rules.late_worth = 0.3;
+  c.share = share;
+  c.work = {Shape::Kind::kLognormal, 20, 1, {}};
+  return c;
+}
+
+// Three classes, 4 proxies and 8 converters in 2 zones, at half of what they can do.
+Model Small() {
+  Model model;
+  model.name = "small";
+  model.length = 20000;
+  model.zones = 2, model.proxies = 4, model.converters = 8;
+  model.converter.slots = 4;
+  model.converter.cold_from = 0.16;
+  model.converter.warm_up = Duration(12000);
+  model.converter.fall_multiple = 2.5;
+  model.converter.overload_for = Duration(3000);
+  model.classes = {Class("preview", Effect::kSafe, 1, 6), Class("convert", Effect::kKeyed, 3, 3),
+                   Class("certify", Effect::kUnsafe, 5, 1)};
+  model.clients.per_second = 800;
+  model.clients.tries = 3;
+  model.max_retry_after = Duration(600);
+  return model;
+}
+
+void ExpectAccounts(const Result& result) {
+  for (const ClassResult& c : result.classes) {
+    EXPECT_EQ(c.asked, c.served + c.refused + c.failed + c.left + c.unreached + c.cut_short);
+    EXPECT_EQ(c.latency.count(), c.served);
+    EXPECT_GE(c.tries, c.asked - c.unreached);
+  }
+}
+
+TEST(World, ACalmInstallationServesNearlyAll) {
+  const Result result = World(Small(), 1).Run();
+  ASSERT_FALSE(result.breach) << result.breach->what;
+  ExpectAccounts(result);
+  EXPECT_GT(result.classes[0].asked, 8000u);
+  EXPECT_GT(result.worth_share(), 0.97);
+  double busy = 0;
+  for (const double b : result.busy) busy += b / static_cast<double>(result.busy.size());
+  EXPECT_NEAR(busy, Small().Utilization(), 0.03);
+}
+
+// Everything at once, again and again from other seeds: the rules hold, the accounts add up.
+TEST(World, TroublesBreakNoRule) {
+  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+    Model model = Small();
+    model.clients.leaves = 0.02;
+    model.network.reset_share = 0.01;
+    model.happenings = {{2000, Kind::kDrain, -1, 0.2, 0},     {3000, Kind::kSlow, -1, 0.25, 8},
+                        {4000, Kind::kStop, 0, 0.5, 0},       {5000, Kind::kKill, -1, 0.5, 0},
+                        {6000, Kind::kCut, 1, 1, 0},          {7000, Kind::kStart, -1, 1, 0},
+                        {8000, Kind::kHeal, 1, 1, 0},         {8500, Kind::kRevive, -1, 1, 0},
+                        {9000, Kind::kStaleLists, -1, 1, 0},  {9500, Kind::kDrain, -1, 0.3, 0},
+                        {11000, Kind::kFreshLists, -1, 1, 0}, {12000, Kind::kLoad, -1, 1, 3},
+                        {13000, Kind::kPause, -1, 0.2, 700},  {14000, Kind::kWrong, -1, 0.2, 0.5},
+                        {15000, Kind::kLoad, -1, 1, 1},       {15500, Kind::kStart, -1, 1, 0}};
+    const Result result = World(model, seed, MakeBadgerbridge, seed % 2 ? 0 : seed).Run();
+    ASSERT_FALSE(result.breach) << "seed " << seed << " step " << result.breach->step << ": "
+                                << result.breach->what;
+    ExpectAccounts(result);
+    EXPECT_GT(result.classes[2].served, 300u);
+    EXPECT_GT(result.classes[0].cut_short + result.classes[0].left, 0u);
+  }
+}
+
+TEST(World, TheSameSeedIsTheSameRunAndAnotherIsNot) {
+  Model model = Small();
+  model.length = 5000;
+  model.happenings = {{1000, Kind::kStop, 0, 0.5, 0}, {2000, Kind::kStart, 0, 0.5, 0}};
+  const Result a = World(model, 7).Run(), b = World(model, 7).Run(), c = World(model, 8).Run();
+  EXPECT_EQ(a.digest, b.digest);
+  EXPECT_EQ(a.steps, b.steps);
+  EXPECT_NE(a.digest, c.digest);
+  EXPECT_NE(a.digest, World(model, 7, MakeBadgerbridge, 3).Run().digest);
+}
+
+TEST(World, ARunIsBounded) {
+  const Result result = World(Small(), 1).Run(10000);
+  EXPECT_EQ(result.steps, 10000u);
+}
+
+// ---- faults that are planted here, and must be found
+// -------------------------------------------------------
+
+// The product's core with one thing wrong.
+class Faulty : public Core {
+ public:
+  using Mend = std::function<void(Actions&)>;
+  Faulty(const Settings& settings, std::uint64_t seed) : core_(MakeBadgerbridge(settings, seed)) {}
+  RequestId Take(TimePoint now, Submit submit, Actions* out) override {
+    classes_.push_back(submit.request_class);
+    return core_->Take(now, submit, out);
+  }
+  void Gone(TimePoint now, RequestId request, Actions* out) override { core_->Gone(now, request, out); }
+  void Ended(TimePoint now, const exchange::Send& attempt, Outcome outcome, Actions* out) override {
+    core_->Ended(now, attempt, outcome, out);
+  }
+  void List(TimePoint now, ListUpdate update, Actions* out) override {
+    core_->List(now, std::move(update), out);
+  }
+  void Wake(TimePoint now, Actions* out) override { core_->Wake(now, out); }
+  std::optional<TimePoint> NextWake() const override { return core_->NextWake(); }
+  const std::vector<exchange::Tally>& tallies() const override { return core_->tallies(); }
+
+ protected:
+  std::unique_ptr<Core> core_;
+  std::vector<int> classes_;
+};
+
+// Sends a certified copy again, one time in so many, though it may have run.
+class Repeats : public Faulty {
+ public:
+  using Faulty::Faulty;
+  void Ended(TimePoint now, const exchange::Send& attempt, Outcome outcome, Actions* out) override {
+    const bool certify = classes_[attempt.request - 1] == 2;
+    if (certify && attempt.attempt == 0 && outcome == Outcome::kError) {
+      exchange::Send again = attempt;
+      again.attempt = 1, again.at = now;
+      out->push_back(again);
+      return;
+    }
+    core_->Ended(now, attempt, outcome, out);
+  }
+};
+class Forgets : public Faulty {  // does not answer what was refused
+ public:
+  using Faulty::Faulty;
+  void Wake(TimePoint now, Actions* out) override {
+    core_->Wake(now, out);
+    std::erase_if(*out,
+                  [](const exchange::Action& a) { return std::holds_alternative<exchange::Answer>(a); });
+  }
+};
+class Ignores : public Faulty {  // drains
+ public:
+  using Faulty::Faulty;
+  void List(TimePoint now, ListUpdate update, Actions* out) override {
+    for (ServerEntry& entry : update.entries) entry.state = ServerState::kReady;
+    core_->List(now, std::move(update), out);
+  }
+};
+class Herds : public Faulty {  // sends all previews to the one that started last
+ public:
+  using Faulty::Faulty;
+  void List(TimePoint now, ListUpdate update, Actions* out) override {
+    if (update.kind == ListKind::kDelta) newest_ = update.entries.front().server;
+    core_->List(now, std::move(update), out);
+  }
+  RequestId Take(TimePoint now, Submit submit, Actions* out) override {
+    const RequestId request = core_->Take(now, submit, out);
+    for (exchange::Action& action : *out) {
+      if (auto* send = std::get_if<exchange::Send>(&action);
+          send && newest_ != 0 && submit.request_class == 0)
+        send->server = newest_;
+    }
+    return request;
+  }
+
+ private:
+  ServerId newest_ = 0;
+};
+
+template <typename Core>
+std::optional<Breach> Play(const Model& model) {
+  return World(model, 1,
+               [](const Settings& s, std::uint64_t seed) { return std::make_unique<Core>(s, seed); })
+      .Run()
+      .breach;
+}
+
+TEST(World, PlantedFaultsAreFound) {
+  Model wrong = Small();
+  wrong.happenings = {{1000, Kind::kWrong, -1, 1, 0.02}};
+  const auto twice = Play<Repeats>(wrong);
+  ASSERT_TRUE(twice);
+  EXPECT_EQ(twice->rule, Rule::kTwice) << twice->what;
+
+  Model crowd = Small();
+  crowd.happenings = {{1000, Kind::kLoad, -1, 1, 4}};
+  const auto lost = Play<Forgets>(crowd);
+  ASSERT_TRUE(lost);
+  EXPECT_EQ(lost->rule, Rule::kLost) << lost->what;
+
+  Model drains = Small();
+  drains.happenings = {{1000, Kind::kDrain, -1, 0.25, 0}};
+  const auto drain = Play<Ignores>(drains);
+  ASSERT_TRUE(drain);
+  EXPECT_EQ(drain->rule, Rule::kDrain) << drain->what;
+
+  Model starts = Small();
+  starts.happenings = {{1000, Kind::kStart, 0, 0.25, 0}};
+  const auto cold = Play<Herds>(starts);
+  ASSERT_TRUE(cold);
+  EXPECT_EQ(cold->rule, Rule::kCold) << cold->what;
+  EXPECT_FALSE(Play<Faulty>(starts)) << "and is not, where nothing is wrong";
+}
+
+// ---- scenario files ---------------------------------------------------------------------------------------
+
+TEST(Scenario, ProblemsAreToldWithTheirPlaces) {
+  operator_file::Problems problems;
+  ParseScenario(
+      "length = \"5 parsecs\"\n[installation]\nproxies = 0\nconverters = 100000\nbogus = 1\n"
+      "[[class]]\nname = \"a\"\neffect = \"quantum\"\naim = \"2s\"\ndeadline = \"1s\"\n"
+      "[[happening]]\nat = \"1s\"\nwhat = \"flood\"\n",
+      "s.toml", problems);
+  const std::string lines = operator_file::Lines(problems);
+  for (const char* part :
+       {"s.toml:1:", "s.toml:3:", "s.toml:4:", "bogus", "s.toml:8:", "quantum", "s.toml:10:", "s.toml:13:"})
+    EXPECT_NE(lines.find(part), std::string::npos) << part << " in\n" << lines;
+}
+
+TEST(Scenario, NonsenseGetsALine) {
+  for (const char* text : {"", "length = 5", "[installation]\n", "[[class]]\nname = \"a\"\n",
+                           "[installation]\nconverters = 0\n[[class]]\nname = \"a\"\n",
+                           "[installation]\n[clients]\nper_second = 1000000000000\n[[class]]\nname = \"a\"\n",
+                           "[installation]\nzones = 2\n[[class]]\nname = \"a\"\n[[happening]]\nat = "
+                           "\"1s\"\nwhat = \"cut\"\nzone = 2\n",
+                           "\xff", "[installation\n"}) {
+    operator_file::Problems problems;
+    const Model model = ParseScenario(text, "s.toml", problems);
+    const bool fine = problems.empty();
+    EXPECT_FALSE(fine) << text;
+    if (!fine) {
+      EXPECT_NE(operator_file::Lines(problems).find("s.toml"), std::string::npos);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace badgerbridge::lab
