--- a/bench/measure.h
+++ b/bench/measure.h
@@ -17,12 +17,13 @@
 
 namespace badgerbridge::bench {
 
-// CPU time of a process, all its threads, in ms: the scheduler's own count, in nanoseconds, where stat has ticks of 10 ms
-// (Documentation/scheduler/sched-stats of Linux).
+// CPU time of a process, all its threads, in ms: the scheduler's own count, in nanoseconds, where stat has
+// ticks of 10 ms (Documentation/scheduler/sched-stats of Linux).
 inline double CpuMs(pid_t pid) {
   double ms = 0;
   std::error_code none;
-  for (const auto& task : std::filesystem::directory_iterator("/proc/" + std::to_string(pid) + "/task", none)) {
+  for (const auto& task :
+       std::filesystem::directory_iterator("/proc/" + std::to_string(pid) + "/task", none)) {
     std::ifstream file(task.path() / "schedstat");
     double ns = 0;
     if (file >> ns) ms += ns / 1e6;
