--- a/tests/packages_test.sh
+++ b/tests/packages_test.sh
@@ -6,9 +6,9 @@
 cd "$(dirname "$0")/.."
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
-chmod 755 "$work"
+chmod 755 "$work" # for the other user, whatever the mask
 for program in sh id dirname cat; do ln -s "$(command -v $program)" "$work/$program"; done # no cmake, no sudo
-cp scripts/packages "$work/packages"
+install -m 755 scripts/packages "$work/packages"
 as=()
 [ "$(id -u)" != 0 ] || as=("$(command -v setpriv)" --reuid=65534 --regid=65534 --clear-groups)
 code=0
