--- a/src/lab/referee.h
+++ b/src/lab/referee.h
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// The four rules, checked at each step of a run from what really happened in the model, not from what a core
-// says of itself. The first breach ends the run.
+// The four rules, checked at each step of a run, and the totals at its end, from what really happened in the
+// model, not from what a core says of itself. The first breach ends the run.
 #ifndef BADGERBRIDGE_LAB_REFEREE_H_
 #define BADGERBRIDGE_LAB_REFEREE_H_
 
@@ -46,7 +46,7 @@
   int effects = 0, group = -1;    // of the converter where it first took effect
   TimePoint effect_at{};
   bool answered = false, refused = false, left = false, closed = false;
-  std::uint64_t key = 0, intent = 0;
+  std::uint64_t intent = 0;
   double work = 0;
 };
 
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <bit>
-#include <deque>
 
 namespace badgerbridge::lab {
 
@@ -23,7 +22,6 @@
 struct World::Proxy {
   int zone = 0;
   std::uint32_t life = 0;  // counts its starts; even: it is dead
-  bool listed_at_front = true;
   std::unique_ptr<Core> core;
   Core::Actions actions;
   bool carrying = false;
@@ -45,7 +43,6 @@
   exchange::Send send;
   bool told = false;  // its end, to the proxy
   bool at_converter = false;
-  bool drops_repeat = false;
   bool on_idle = false;  // on a connection that was there
   bool reset = false;    // its connection breaks once it has been written
 };
@@ -54,7 +51,6 @@
   int request_class = 0, tries = 0, zone = 0;
   TimePoint began{};
   double work = 0;
-  std::uint64_t key = 0;
 };
 
 double Result::worth_share() const {
@@ -184,7 +180,6 @@
       return Happen(now, model_.happenings[a]);
     case kNoticed: {
       const bool alive = proxies_[a].alive();
-      proxies_[a].listed_at_front = alive;
       auto& front = fronts_[static_cast<std::size_t>(proxies_[a].zone)];
       std::erase(front, static_cast<std::uint32_t>(a));
       if (alive) front.push_back(static_cast<std::uint32_t>(a));
@@ -210,7 +205,6 @@
   intent.work = cls.work.Draw(works_);
   intent.zone = static_cast<int>(works_.Below(static_cast<std::uint64_t>(model_.zones)));
   const std::uint64_t id = ++next_intent_;
-  intent.key = id;
   ClassResult& result = result_.classes[static_cast<std::size_t>(intent.request_class)];
   ++result.asked;
   result.worth_asked += cls.rules.worth;
@@ -252,7 +246,6 @@
   trace.sent = now;
   trace.due = now + cls.rules.deadline;
   trace.intent = id;
-  trace.key = intent.key;
   trace.work = intent.work;
   const std::uint64_t number = ++next_trace_;
   traces_.emplace(number, trace);
@@ -425,42 +418,36 @@
 // ---- converters' word -----------------------------------------------------------------------------------
 
 void World::Began(TimePoint now, std::size_t index, JobId id) {
-  Attempt& attempt = attempts_.at(id);
-  Trace& trace = traces_.at(attempt.trace);
+  Trace& trace = traces_.at(attempts_.at(id).trace);
   const ClassSettings& rules = model_.classes[static_cast<std::size_t>(trace.request_class)].rules;
   const int group = rules.group == Group::kAll    ? 0
                     : rules.group == Group::kZone ? listed_[index].zone
                                                   : listed_[index].cell;
-  attempt.drops_repeat = !referee_.Effect(now, queue_.steps(), trace, rules, group);
-  result_.repeats_dropped += attempt.drops_repeat;
+  result_.repeats_dropped += !referee_.Effect(now, queue_.steps(), trace, rules, group);
   Digest(id * 64 + index);
   Digest(std::bit_cast<std::uint64_t>(now.time_since_epoch().count()));
 }
 
-void World::Finished(TimePoint now, std::size_t index, JobId id, bool right) {
+// Its proxy hears of it, if it still waits and the link is not silent.
+void World::Leaves(TimePoint now, JobId id, Outcome outcome) {
   Attempt& attempt = attempts_.at(id);
   attempt.at_converter = false;
-  const std::uint64_t trace = attempt.trace;
-  if (attempt.told) {
-    Forget(id);
-    return Release(trace);
+  if (!attempt.told) {
+    if (!Cut(proxies_[attempt.proxy].zone, listed_[attempt.converter].zone))
+      queue_.At(now + Duration(Latency()), this, kAttemptEnds, id, static_cast<std::uint64_t>(outcome));
+    return;
   }
-  if (Cut(proxies_[attempt.proxy].zone, listed_[index].zone)) return;
-  queue_.At(now + Duration(Latency()), this, kAttemptEnds, id,
-            static_cast<std::uint64_t>(right ? Outcome::kOk : Outcome::kError));
+  const std::uint64_t trace = attempt.trace;
+  Forget(id);
+  Release(trace);
 }
 
-void World::Dropped(TimePoint now, std::size_t, JobId id) {
-  Attempt& attempt = attempts_.at(id);
-  attempt.at_converter = false;
-  const std::uint64_t trace = attempt.trace;
-  if (attempt.told) {
-    Forget(id);
-    return Release(trace);
-  }
-  queue_.At(now + Duration(Latency()), this, kAttemptEnds, id, static_cast<std::uint64_t>(Outcome::kReset));
+void World::Finished(TimePoint now, std::size_t, JobId id, bool right) {
+  Leaves(now, id, right ? Outcome::kOk : Outcome::kError);
 }
 
+void World::Dropped(TimePoint now, std::size_t, JobId id) { Leaves(now, id, Outcome::kReset); }
+
 void World::EndAttempt(TimePoint now, std::uint64_t id, Outcome outcome) {
   const auto found = attempts_.find(id);
   if (found == attempts_.end() || found->second.told) return;
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -7,7 +7,6 @@
 #define BADGERBRIDGE_LAB_WORLD_H_
 
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -79,6 +78,7 @@
   void Finished(TimePoint now, std::size_t converter, JobId job, bool right) override;
   void Dropped(TimePoint now, std::size_t converter, JobId job) override;
 
+  void Leaves(TimePoint now, JobId job, fordlb::Outcome outcome);
   // Clients.
   void Arrive(TimePoint now);
   void Try(TimePoint now, std::uint64_t intent);
--- a/tests/install_test.sh
+++ b/tests/install_test.sh
@@ -36,7 +36,7 @@
   expect "$program.1 is a manual page with its options" \
     bash -c "grep -q '^.TH' '$prefix/share/man/man1/$program.1' && grep -q version '$prefix/share/man/man1/$program.1'"
 done
-expect "badgerctl.1 has the commands' own options" grep -q force '-e' '\\-\\-force' "$prefix/share/man/man1/badgerctl.1"
+expect "badgerctl.1 has the commands' own options" grep -q -e '\\-\\-force' "$prefix/share/man/man1/badgerctl.1"
 # The example names an operator's file of the instance, which the administrator writes: here the example itself.
 sed -i "s|operator_file = \"[^\"]*\"|operator_file = \"$prefix/etc/badgerbridge/operator.toml\"|" \
   "$prefix/etc/badgerbridge/fleet.toml"
