--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -13,6 +13,7 @@
 #include <string>
 #include <string_view>
 
+#include "api/version.h"
 #include "control/control.h"
 #include "node/backend.h"
 #include "node/client.h"
@@ -141,7 +142,11 @@
     } else if (argument.rfind("--operator=", 0) == 0) {
       *path = argument.substr(11);
     } else if (argument == "--version") {
-      std::cout << "badgerbridge " BADGERBRIDGE_VERSION "\n";
+#ifdef BADGERBRIDGE_HAS_ETCD
+      std::cout << api::VersionText("badgerbridge", {"control", "etcd"});
+#else
+      std::cout << api::VersionText("badgerbridge", {"control"});
+#endif
       return 0;
     } else if (argument == "--help") {
       std::cout << kUsage;
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -13,6 +13,7 @@
 #include "ctl/etcd_commands.h"
 #endif
 #include "api/address.h"
+#include "api/version.h"
 #include "fleet/fleet_file.h"
 #include "operator/operator_file.h"
 #include "operator/table_reader.h"
@@ -225,7 +226,12 @@
   Arguments a;
   CLI::App app("badgerctl: commands the proxies that badgeragent keeps");
   app.footer(kExits);
-  app.set_version_flag("--version", "badgerctl " BADGERBRIDGE_VERSION);
+#ifdef BADGERBRIDGE_HAS_ETCD
+  app.set_version_flag("--version", api::VersionText("badgerctl", {"TLS", "etcd"}));
+#else
+  app.set_version_flag("--version", api::VersionText("badgerctl", {"TLS"}));
+#endif
+  app.set_help_all_flag("--help-all", "the same with each command's own options");
   app.require_subcommand(1);
   app.fallthrough();
   app.add_option("--context", a.context, "the file that names the agents (BADGERCTL_CONTEXT)");
--- a/src/fleet/main.cpp
+++ b/src/fleet/main.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <iostream>
 
+#include "api/version.h"
 #include "fleet/agent.h"
 
 int main(int count, char** arguments) {
@@ -15,7 +16,7 @@
   bool check = false;
   app.add_option("--fleet", path, "the fleet file (deploy/fleet.toml lists every key)")->required();
   app.add_flag("--check", check, "check the file and the operator's files that it names, and start nothing");
-  app.set_version_flag("--version", "badgeragent " BADGERBRIDGE_VERSION);
+  app.set_version_flag("--version", api::VersionText("badgeragent", {"TLS"}));
   CLI11_PARSE(app, count, arguments);
 
   std::signal(SIGPIPE, SIG_IGN);
--- /dev/null
+++ b/tests/install_test.sh
@@ -0,0 +1,81 @@
+#!/bin/bash
+# SPDX-License-Identifier: Apache-2.0
+#
+# install_test.sh BUILD: installs that build into an empty prefix, runs what came there, and reads the Debian package that
+# it makes. BUILD has everything (the preset "release").
+set -euo pipefail
+build=$(cd "$1" && pwd)
+source=$(cd "$(dirname "$0")/.." && pwd)
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+passed=0
+expect() { # what it is, then a command that must succeed
+  local what=$1
+  shift
+  if "$@" >"$work/out" 2>&1; then
+    passed=$((passed + 1))
+  else
+    echo "FAILED: $what"
+    cat "$work/out"
+    exit 1
+  fi
+}
+
+prefix=$work/prefix
+expect "installs into an empty prefix" cmake --install "$build" --prefix "$prefix"
+for file in bin/badgerbridge bin/badgeragent bin/badgerctl lib/systemd/system/badgeragent.service \
+  lib/systemd/system/badgerbridge@.service lib/sysusers.d/badgerbridge.conf etc/badgerbridge/operator.toml \
+  etc/badgerbridge/fleet.toml etc/badgerbridge/context.toml share/man/man1/badgerbridge.1 \
+  share/man/man1/badgeragent.1 share/man/man1/badgerctl.1 share/bash-completion/completions/badgerctl \
+  include/fordlb/balancer.h share/doc/fordlb/README.md; do
+  expect "$file is there" test -s "$prefix/$file"
+done
+for program in badgerbridge badgeragent badgerctl; do
+  expect "$program --version tells version and what is built in" \
+    bash -c "'$prefix/bin/$program' --version | tr '\n' ' ' | grep -q '^$program [0-9.]* built in: [a-zA-Z]'"
+  expect "$program.1 is a manual page with its options" \
+    bash -c "grep -q '^.TH' '$prefix/share/man/man1/$program.1' && grep -q version '$prefix/share/man/man1/$program.1'"
+done
+expect "badgerctl.1 has the commands' own options" grep -q force '-e' '\\-\\-force' "$prefix/share/man/man1/badgerctl.1"
+# The example names an operator's file of the instance, which the administrator writes: here the example itself.
+sed -i "s|operator_file = \"[^\"]*\"|operator_file = \"$prefix/etc/badgerbridge/operator.toml\"|" \
+  "$prefix/etc/badgerbridge/fleet.toml"
+for file in operator fleet context; do
+  expect "badgerctl check $file.toml" "$prefix/bin/badgerctl" check "$prefix/etc/badgerbridge/$file.toml"
+done
+expect "the completion is bash" bash -n "$prefix/share/bash-completion/completions/badgerctl"
+expect "no unit is left with a place to fill in" bash -c "! grep -q '@BADGER' '$prefix'/lib/systemd/system/*"
+expect "the agent's unit leaves its instances alone" \
+  grep -qx KillMode=process "$prefix/lib/systemd/system/badgeragent.service"
+expect "the demo runs with the installed programs" env BADGERBRIDGE_BIN="$prefix/bin" "$build/badgerdemo"
+
+mkdir "$work/user"
+cat >"$work/user/CMakeLists.txt" <<CMAKE
+cmake_minimum_required(VERSION 3.25)
+project(user LANGUAGES CXX)
+find_package(fordlb REQUIRED)
+add_executable(user $source/examples/minimal.cpp)
+target_link_libraries(user PRIVATE fordlb::fordlb)
+CMAKE
+expect "another project finds the library" cmake -S "$work/user" -B "$work/user/build" -DCMAKE_PREFIX_PATH="$prefix"
+expect "and builds with it" cmake --build "$work/user/build"
+expect "and runs" "$work/user/build/user"
+
+expect "a Debian package is made" cpack --config "$build/CPackConfig.cmake" -B "$work/package"
+package=$(ls "$work"/package/*.deb)
+dpkg-deb --contents "$package" | awk '{ print $6 }' >"$work/contents"
+for file in ./usr/bin/badgerbridge ./usr/bin/badgeragent ./usr/bin/badgerctl ./etc/badgerbridge/operator.toml \
+  ./etc/badgerbridge/fleet.toml ./etc/badgerbridge/context.toml ./usr/lib/systemd/system/badgeragent.service \
+  ./usr/share/man/man1/badgerctl.1 ./usr/share/bash-completion/completions/badgerctl ./usr/include/fordlb/balancer.h; do
+  expect "the package has $file" grep -qx "$file" "$work/contents"
+done
+expect "nothing of the package is under /usr/etc" bash -c "! grep -q '^./usr/etc' '$work/contents'"
+dpkg-deb --control "$package" "$work/control"
+expect "its configuration is the administrator's" grep -qx /etc/badgerbridge/operator.toml "$work/control/conffiles"
+expect "it depends on the libraries that it links" grep -q '^Depends:.*libssl3' "$work/control/control"
+expect "its scripts are shell" sh -n "$work/control/postinst"
+dpkg-deb --extract "$package" "$work/root"
+expect "its units name its programs" grep -qx \
+  'ExecStart=/usr/bin/badgeragent --fleet /etc/badgerbridge/fleet.toml' "$work/root/usr/lib/systemd/system/badgeragent.service"
+expect "and its programs run" "$work/root/usr/bin/badgerctl" --version
+echo "$passed passed, 0 failed"
--- a/tests/standins/site.cpp
+++ b/tests/standins/site.cpp
@@ -169,6 +169,8 @@
     throw std::runtime_error("the agent does not answer: " + Read("agent.err"));
 }
 
+std::string Site::Name(int proxy) const { return "n" + std::to_string(proxy + 1); }
+
 bool Site::AgentRuns() const { return agent_ > 0 && waitpid(agent_, nullptr, WNOHANG) == 0; }
 
 void Site::KillAgent(int signal) {
