Let the lab play regions: zone shares in the module, members over a model of etcd

Need: what the common decision does to an installation must be seen before it goes into the proxy.

The module takes ZoneShares: a zone whose share is used up is passed over, a second's worth may be used at once, and what is worth least leaves half of that to others. Without the event nothing changes. The lab gains members with an etcd that has a latency and can be gone, cuts one way, regions with a longer way between, orders, the share of attempts that cross, and a rival that leaves its zone whole (cliff).

--- a/include/fordlb/balancer.h
+++ b/include/fordlb/balancer.h
@@ -118,7 +118,11 @@
 struct TimerFired {
   std::uint64_t token = 0;  // of its SetTimer
 };
-using Event = std::variant<ListUpdate, Submit, StreamStarted, AttemptEnded, ClientGone, TimerFired>;
+struct ZoneShares {  // how much this proxy may send to each zone from here on; until the first: all it likes
+  std::vector<double> work_per_ms;  // by zone, hinted work; below 0: without limit
+};
+using Event =
+    std::variant<ListUpdate, Submit, StreamStarted, AttemptEnded, ClientGone, TimerFired, ZoneShares>;
 
 // ---- actions ------------------------------------------------------------------------------------------
 struct Dispatch {
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -52,6 +52,10 @@
   Post(now, std::move(update), out);
 }
 
+void Exchange::Shares(TimePoint now, fordlb::ZoneShares shares, Actions* out) {
+  Post(now, std::move(shares), out);
+}
+
 void Exchange::Wake(TimePoint now, Actions* out) { Turn(now, out); }
 
 std::optional<TimePoint> Exchange::NextWake() const {
--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -77,6 +77,8 @@
   // An attempt has ended. If kOk, and its request is open, the Answer that follows at once serves it.
   void Ended(fordlb::TimePoint now, const Send& attempt, fordlb::Outcome outcome, Actions* out);
   void List(fordlb::TimePoint now, fordlb::ListUpdate update, Actions* out);
+  // How much may go to each zone from here on.
+  void Shares(fordlb::TimePoint now, fordlb::ZoneShares shares, Actions* out);
   // What time alone brings; to be called at NextWake, or later.
   void Wake(fordlb::TimePoint now, Actions* out);
 
--- a/src/lab/core.cpp
+++ b/src/lab/core.cpp
@@ -21,6 +21,9 @@
   void List(TimePoint now, ListUpdate update, Actions* out) override {
     exchange_.List(now, std::move(update), out);
   }
+  void Shares(TimePoint now, ZoneShares shares, Actions* out) override {
+    exchange_.Shares(now, std::move(shares), out);
+  }
   void Wake(TimePoint now, Actions* out) override { exchange_.Wake(now, out); }
   std::optional<TimePoint> NextWake() const override { return exchange_.NextWake(); }
   const std::vector<exchange::Tally>& tallies() const override { return exchange_.tallies(); }
--- a/src/lab/core.h
+++ b/src/lab/core.h
@@ -23,6 +23,8 @@
   virtual void Ended(fordlb::TimePoint now, const exchange::Send& attempt, fordlb::Outcome outcome,
                      Actions* out) = 0;
   virtual void List(fordlb::TimePoint now, fordlb::ListUpdate update, Actions* out) = 0;
+  // How much may go to each zone (src/regions); a core that does not know zones lets it pass.
+  virtual void Shares(fordlb::TimePoint, fordlb::ZoneShares, Actions*) {}
   virtual void Wake(fordlb::TimePoint now, Actions* out) = 0;
   virtual std::optional<fordlb::TimePoint> NextWake() const = 0;
   // By class; empty where a core keeps none.
--- /dev/null
+++ b/src/lab/members.cpp
@@ -0,0 +1,163 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "lab/members.h"
+
+#include <utility>
+
+namespace badgerbridge::lab {
+
+using namespace fordlb;
+using regions::Meter;
+
+namespace {
+
+constexpr std::uint64_t kStream = 1000003;
+constexpr double kCliffBad = 0.5, kCliffSlow = 3;  // of a zone that is left whole, by one proxy's word
+constexpr Duration kCliffFor{5000};
+
+}  // namespace
+
+struct Members::One {
+  std::uint64_t life = 0;
+  std::unique_ptr<regions::Member> member;  // none: its proxy is dead
+  std::unique_ptr<Meter> meter;             // of one that fails over by itself
+  std::optional<regions::Member::Call> call;
+  regions::Member::Reply reply;
+  std::vector<double> told, warm;
+  TimePoint left_until{};
+  int zone = 0;
+};
+
+Members::Members(EventQueue& queue, const Model& model, std::uint64_t seed, OnShares on_shares)
+    : queue_(queue), model_(model), random_(seed, kStream), seed_(seed), on_shares_(std::move(on_shares)) {
+  for (int i = 0; i < model.proxies; ++i) all_.push_back(std::make_unique<One>());
+}
+
+Members::~Members() = default;
+
+void Members::Start(TimePoint now, std::size_t proxy) {
+  One& one = *all_[proxy];
+  one.zone = static_cast<int>(proxy) % model_.zones;
+  ++one.life;
+  one.call.reset();
+  one.told.clear();
+  const auto zones = static_cast<std::size_t>(model_.zones);
+  regions::MemberSettings settings;
+  settings.name = "n" + std::to_string(proxy);
+  settings.zone = one.zone;
+  settings.classes = model_.classes.size();
+  settings.together = model_.decision.decide == RegionsModel::Decide::kTogether;
+  settings.rules.zones = zones;
+  settings.rules.round_trip = regions::Matrix(zones);
+  settings.rules.price = regions::Matrix(zones);
+  for (const ClassModel& c : model_.classes)
+    settings.rules.aim = std::min(settings.rules.aim, c.rules.aim.count());
+  for (std::size_t o = 0; o < zones; ++o) {
+    for (std::size_t r = 0; r < zones; ++r) {
+      const bool far = model_.RegionOf(static_cast<int>(o)) != model_.RegionOf(static_cast<int>(r));
+      settings.rules.round_trip.at(o, r) =
+          2 * (model_.network.latency.Mean() + (far ? model_.far.count() : 0));
+      settings.rules.price.at(o, r) = o == r ? 0
+                                      : far  ? 2 * model_.price_cross_zone
+                                             : model_.price_cross_zone;
+    }
+  }
+  if (model_.decision.decide == RegionsModel::Decide::kCliff) {
+    one.meter = std::make_unique<Meter>(one.zone, zones, model_.classes.size());
+  }
+  one.member = std::make_unique<regions::Member>(settings, seed_ * 7919 + proxy * 31 + one.life);
+  if (!one.warm.empty()) one.member->Listed(one.warm);
+  queue_.At(now, this, kAsk, proxy, one.life);
+}
+
+void Members::Stop(std::size_t proxy) {
+  ++all_[proxy]->life;
+  all_[proxy]->member.reset();
+  all_[proxy]->meter.reset();
+}
+
+const regions::Member* Members::member(std::size_t proxy) const { return all_[proxy]->member.get(); }
+
+void Members::On(TimePoint now, std::uint32_t what, std::uint64_t proxy, std::uint64_t life) {
+  One& one = *all_[proxy];
+  // What a dead one has sent still arrives.
+  if (what == kReach) {
+    if (!one.call || one.life != life) return;
+    one.reply = down_ ? regions::Member::Reply{} : etcd_.Do(now, "n" + std::to_string(proxy), *one.call);
+    const Duration back = down_ ? Duration(500) : Duration(model_.decision.etcd.Draw(random_));
+    return queue_.At(now + back, this, kReply, proxy, life);
+  }
+  if (one.life != life || !one.member) return;
+  if (what == kReply) {
+    one.call.reset();
+    one.member->Done(now, one.reply);
+  }
+  Ask(now, proxy);
+}
+
+void Members::Ask(TimePoint now, std::size_t proxy) {
+  One& one = *all_[proxy];
+  if (model_.decision.decide == RegionsModel::Decide::kCliff) {
+    Tell(now, proxy);
+    return queue_.At(now + Duration(250), this, kAsk, proxy, one.life);
+  }
+  if (!one.call) {
+    one.call = one.member->Next(now);
+    if (one.call) {
+      queue_.At(now + Duration(model_.decision.etcd.Draw(random_)), this, kReach, proxy, one.life);
+    } else {
+      queue_.At(std::max(one.member->wake(), now + Duration(1)), this, kAsk, proxy, one.life);
+    }
+  }
+  Tell(now, proxy);
+}
+
+void Members::Tell(TimePoint now, std::size_t proxy) {
+  One& one = *all_[proxy];
+  auto shares = one.meter ? Cliff(now, one) : one.member->Shares(now);
+  if (shares == one.told) return;
+  one.told = shares;
+  on_shares_(now, proxy, std::move(shares));
+}
+
+// The usual way of a proxy by itself: all of its own zone, or none of it.
+std::vector<double> Members::Cliff(TimePoint now, One& one) {
+  const auto home = static_cast<std::size_t>(one.zone);
+  const regions::ZoneWord word = one.meter->Take(now, 0).zones[home];
+  if (word.attempts >= 5 && (word.bad > kCliffBad * word.attempts || word.slow > kCliffSlow))
+    one.left_until = now + kCliffFor;
+  const bool left = now < one.left_until;
+  std::vector<double> shares(static_cast<std::size_t>(model_.zones), left ? regions::kFree : 0);
+  shares[home] = left ? 0 : regions::kFree;
+  return shares;
+}
+
+void Members::Arrived(TimePoint now, std::size_t proxy, double work) {
+  if (all_[proxy]->member) all_[proxy]->member->Arrived(now, work);
+}
+
+void Members::Sent(TimePoint now, std::size_t proxy, std::uint64_t attempt, int zone) {
+  One& one = *all_[proxy];
+  if (one.meter) one.meter->Sent(now, attempt, static_cast<std::size_t>(zone));
+  if (one.member) one.member->Sent(now, attempt, static_cast<std::size_t>(zone));
+}
+
+void Members::Ended(TimePoint now, std::size_t proxy, std::uint64_t attempt, int request_class,
+                    Outcome outcome, Duration took, double work, double used) {
+  One& one = *all_[proxy];
+  const Meter::End end = outcome == Outcome::kOk                                       ? Meter::End::kServed
+                         : outcome == Outcome::kFull                                   ? Meter::End::kFull
+                         : outcome == Outcome::kCancelled || outcome == Outcome::kMoot ? Meter::End::kNothing
+                                                                                       : Meter::End::kFailed;
+  const std::optional<double> report =
+      model_.decision.reports && used >= 0 ? std::optional<double>(used) : std::nullopt;
+  const auto cls = static_cast<std::size_t>(request_class);
+  if (one.meter) one.meter->Ended(now, attempt, cls, end, took, work, report);
+  if (one.member) one.member->Ended(now, attempt, cls, end, took, work, report);
+}
+
+void Members::Listed(std::size_t proxy, std::vector<double> warm) {
+  all_[proxy]->warm = std::move(warm);
+  if (all_[proxy]->member) all_[proxy]->member->Listed(all_[proxy]->warm);
+}
+
+}  // namespace badgerbridge::lab
--- /dev/null
+++ b/src/lab/members.h
@@ -0,0 +1,63 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The members of the regions in the model: a regions::Member for each proxy that lives, calling an etcd that
+// has a latency and can be out of reach. What they decide goes to the proxies' cores as ZoneShares.
+#ifndef BADGERBRIDGE_LAB_MEMBERS_H_
+#define BADGERBRIDGE_LAB_MEMBERS_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "lab/etcd.h"
+#include "lab/event_queue.h"
+#include "lab/model.h"
+#include "lab/random.h"
+
+namespace badgerbridge::lab {
+
+class Members : public Actor {
+ public:
+  using OnShares = std::function<void(TimePoint, std::size_t proxy, std::vector<double>)>;
+
+  // `on_shares` is called whenever a proxy's shares are others than before.
+  Members(EventQueue& queue, const Model& model, std::uint64_t seed, OnShares on_shares);
+  ~Members();
+
+  void Start(TimePoint now, std::size_t proxy);
+  void Stop(std::size_t proxy);  // its process has died
+  void EtcdDown(bool down) { down_ = down; }
+  void Order(int zone, bool leave) { etcd_.Order(zone, leave ? "an operator" : ""); }
+
+  void Arrived(TimePoint now, std::size_t proxy, double work);
+  void Sent(TimePoint now, std::size_t proxy, std::uint64_t attempt, int zone);
+  void Ended(TimePoint now, std::size_t proxy, std::uint64_t attempt, int request_class,
+             fordlb::Outcome outcome, Duration took, double work, double used);
+  void Listed(std::size_t proxy, std::vector<double> warm);
+
+  const EtcdModel& etcd() const { return etcd_; }
+  const regions::Member* member(std::size_t proxy) const;
+
+ private:
+  enum What : std::uint32_t { kAsk, kReach, kReply };
+  struct One;
+
+  void On(TimePoint now, std::uint32_t what, std::uint64_t proxy, std::uint64_t life) override;
+  void Ask(TimePoint now, std::size_t proxy);
+  void Tell(TimePoint now, std::size_t proxy);
+  std::vector<double> Cliff(TimePoint now, One& one);
+
+  EventQueue& queue_;
+  const Model& model_;
+  Random random_;
+  std::uint64_t seed_;
+  OnShares on_shares_;
+  EtcdModel etcd_;
+  bool down_ = false;
+  std::vector<std::unique_ptr<One>> all_;
+};
+
+}  // namespace badgerbridge::lab
+
+#endif  // BADGERBRIDGE_LAB_MEMBERS_H_
--- a/src/lab/model.h
+++ b/src/lab/model.h
@@ -41,17 +41,21 @@
 // What happens, at `at`, to whom.
 struct Happening {
   enum class Kind {
-    kDrain,       // converters: told to drain
-    kStop,        // converters: die; listed as gone
-    kStart,       // converters: start as new processes, cold; listed as ready
-    kSlow,        // converters: by `value`
-    kWrong,       // converters: this share of answers
-    kPause,       // converters: for `value` ms
-    kKill,        // proxies: die at once; what they hold is reset
-    kRevive,      // proxies: start again with the list as it is
-    kLoad,        // the arrivals by this factor of the model's
-    kCut,         // between proxies and converters of `zone` and those of other zones: silence
-    kHeal,        // ends the cut of `zone`
+    kDrain,     // converters: told to drain
+    kStop,      // converters: die; listed as gone
+    kStart,     // converters: start as new processes, cold; listed as ready
+    kSlow,      // converters: by `value`
+    kWrong,     // converters: this share of answers
+    kPause,     // converters: for `value` ms
+    kKill,      // proxies: die at once; what they hold is reset
+    kRevive,    // proxies: start again with the list as it is
+    kLoad,      // the arrivals by this factor of the model's
+    kCut,       // between proxies and converters of `zone` and those of other zones: silence
+    kHeal,      // ends the cut of `zone`
+    kEtcdDown,  // no call is answered, until kEtcdUp
+    kEtcdUp,
+    kEvacuate,  // an operator's order to leave `zone`, until kReadmit
+    kReadmit,
     kStaleLists,  // proxies are told nothing, until kFreshLists
     kFreshLists,
   };
@@ -60,6 +64,16 @@
   int zone = -1;     // -1: of every zone
   double share = 1;  // of these, evenly spread over their numbers
   double value = 1;
+  enum class Way { kBoth, kIn, kOut };
+  Way way = Way::kBoth;  // of a cut: what comes into the zone, what leaves it
+};
+
+// Who decides how much goes to each zone (src/regions).
+struct RegionsModel {
+  enum class Decide { kOff, kAlone, kCliff, kTogether };
+  Decide decide = Decide::kOff;
+  bool reports = true;                              // answers say how busy their converters are
+  Shape etcd{Shape::Kind::kExponential, 2, 1, {}};  // ms, one way
 };
 
 struct Model {
@@ -75,10 +89,14 @@
   Duration drain_grace{500};
   int groups = 2;  // of converters that drop each other's repeats of a key; by their numbers
   double price_cross_zone = 0;
+  int regions = 1;  // of zones, by their numbers
+  Duration far{0};  // one way more between regions
+  RegionsModel decision;
   std::vector<Happening> happenings;  // by time
 
   // Work that all converters do a ms once warm, over what is asked of them.
   double Utilization() const;
+  int RegionOf(int zone) const { return zone * regions / zones; }
   fordlb::Settings SettingsOf(int proxy) const;
 };
 
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -15,6 +15,7 @@
 #include "lab/core.h"
 #include "lab/event_queue.h"
 #include "lab/histogram.h"
+#include "lab/members.h"
 #include "lab/model.h"
 #include "lab/random.h"
 #include "lab/referee.h"
@@ -28,6 +29,7 @@
   std::uint64_t unreached = 0;  // no proxy took it
   std::uint64_t cut_short = 0;  // its proxy died
   std::uint64_t tries = 0;
+  std::uint64_t attempts = 0, crossed = 0, far = 0;  // of these, to another zone; to another region
   double worth_asked = 0, worth_served = 0;
   Histogram latency;  // of those served, from the first try on
 };
@@ -52,6 +54,7 @@
 
   // Plays the load to its end, and what is open then; stops at the first breach, or after `most_steps`.
   Result Run(std::uint64_t most_steps = UINT64_MAX);
+  const Members* members() const { return members_.get(); }
 
  private:
   enum What : std::uint32_t {
@@ -94,8 +97,10 @@
   void Revive(TimePoint now, std::size_t proxy);
   void EndAttempt(TimePoint now, std::uint64_t attempt, fordlb::Outcome outcome);
   // Network and discovery.
-  bool Cut(int proxy_zone, int converter_zone) const;
+  bool Cut(int from_zone, int to_zone) const;
   double Latency();
+  double Between(int zone, int other);
+  std::vector<double> Warm(TimePoint now) const;
   void List(TimePoint now, std::size_t converter, fordlb::ServerState state);
   void ReachConverter(TimePoint now, std::uint64_t attempt);
   void Happen(TimePoint now, const Happening& happening);
@@ -119,7 +124,8 @@
   std::unordered_map<std::uint64_t, Trace> traces_;
   std::unordered_map<std::uint64_t, Attempt> attempts_;
   std::unordered_map<std::uint64_t, Intent> intents_;
-  std::vector<bool> cut_;  // zones
+  std::vector<bool> cut_in_, cut_out_;  // zones: nothing comes in, nothing leaves
+  std::unique_ptr<Members> members_;    // none: nobody decides how much goes to each zone
   bool stale_lists_ = false;
   double load_ = 1;
   std::uint64_t next_trace_ = 0, next_attempt_ = 0, next_intent_ = 0;
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -58,6 +58,8 @@
 constexpr Duration kSlownessMemory{4000};  // what is not confirmed is forgotten
 constexpr double kSlownessWeight = 1;      // of the time lost at a slow server, against work in flight
 constexpr double kOutlier = 1.5;           // times the median slowness: the server is slow, not the fleet
+constexpr Duration kShareBurst{1000};      // of a zone's share that may be used at once
+constexpr double kShareKept = 0.5;         // of that, for what is worth more
 constexpr double kMostlyWarm = 0.95;       // of the servers' capacity
 constexpr double kFewPlaces = 3, kManyPlaces = 6;  // attempts that a proxy may have out, in the mean
 constexpr double kSameTime = 0.04;    // part by which times of tries may differ and still be the same
@@ -266,6 +268,11 @@
   UsualTime usual_time;
 };
 
+struct ZoneBucket {
+  double rate = -1, left = 0;  // work a ms, below 0: without limit; work that may still be sent now
+  TimePoint filled{};
+};
+
 // What may be done with a request now.
 struct Permission {
   bool dispatch = false;
@@ -387,6 +394,7 @@
     for (std::size_t i = 0, at = RingStart(); i < ring_.size(); ++i, ++at) {
       Server* s = ring_[at < ring_.size() ? at : at -= ring_.size()];
       if (permission.group_of && !InGroup(r, *permission.group_of, *s)) continue;
+      if (!FitsZone(*s, r)) continue;
       if (FitsColdBudget(*s, r.work)) {
         Consider(r, *s, &choice);
       } else if (MayLog(kCold)) {
@@ -401,6 +409,24 @@
     return choice.rank >= 2 && choice.in_service ? nullptr : choice.best;
   }
 
+  // Exception, where somebody decides how much goes to each zone (src/regions): a zone whose share is used up
+  // is passed over. Each share is a bucket of a second's worth; what is worth least leaves most of it to
+  // others.
+  bool FitsZone(const Server& s, const Request& r) {
+    if (s.entry.zone < 0 || static_cast<std::size_t>(s.entry.zone) >= zones_.size()) return true;
+    ZoneBucket& zone = zones_[static_cast<std::size_t>(s.entry.zone)];
+    if (zone.rate < 0) return true;
+    const double depth = zone.rate * kShareBurst.count();
+    zone.left = std::min(depth, zone.left + zone.rate * (now_ - zone.filled).count());
+    zone.filled = now_;
+    return zone.left > kShareKept * depth * (1 - settings_.classes[r.cls].worth / MostWorth());
+  }
+  double MostWorth() const {
+    double most = 1e-9;
+    for (const ClassSettings& c : settings_.classes) most = std::max(most, c.worth);
+    return most;
+  }
+
   struct Choice {
     Server* best = nullptr;
     int rank = 0, ties = 0;
@@ -567,6 +593,8 @@
     ++s.counted;
     last_place_ = random_.Unit();
     s.own_work += r.work;
+    if (s.entry.zone >= 0 && static_cast<std::size_t>(s.entry.zone) < zones_.size())
+      zones_[static_cast<std::size_t>(s.entry.zone)].left -= r.work;
     ++s.own_count;
     s.sent.Add(now_, r.work);
     s.last_sent = now_;
@@ -860,6 +888,16 @@
     Forget(found);
   }
 
+  void On(const ZoneShares& e) {
+    zones_.resize(e.work_per_ms.size(), {-1, 0, now_});
+    for (std::size_t z = 0; z < zones_.size(); ++z) {
+      const double rate = std::isfinite(e.work_per_ms[z]) ? e.work_per_ms[z] : -1;
+      if (zones_[z].rate < 0) zones_[z].left = 0;  // it earns what it has from here on
+      zones_[z].rate = rate;
+    }
+    room_ = true;
+  }
+
   void On(const StreamStarted& e) {
     const auto found = requests_.find(e.request);
     if (found != requests_.end()) found->second.streaming = true;
@@ -1065,6 +1103,7 @@
   std::deque<ServerId> gone_;           // in the order in which they went
   double arrived_ = 0, send_rate_ = 0;  // requests since the last sample; a ms
   std::vector<Server*> active_;    // those this proxy has dealt with lately; work per event is theirs alone
+  std::vector<ZoneBucket> zones_;  // empty: nobody decides how much goes where
   std::vector<Server*> outliers_;  // of these, slower than most; as of the last sample
   double usual_slowness_ = 1;
   std::size_t usable_ = 0;   // servers on the list that take work
--- a/src/regions/decider.cpp
+++ b/src/regions/decider.cpp
@@ -15,12 +15,12 @@
 constexpr double kSlow = 3;        // times what members are used to
 constexpr double kNotSlow = 1.7;
 constexpr double kFellShort = 0.75;  // of what it has shown: slow at less is no crowd, but a fault
-constexpr double kCrowded = 0.35;    // of the aim
-constexpr double kQuick = 0.2;       // of the aim
+constexpr double kCrowded = 0.6;     // of the aim
+constexpr double kQuick = 0.45;      // of the aim
 constexpr double kCut = 0.8, kGrow = 1.2, kEarn = 1.5;
 constexpr double kTrial = 0.02;      // of what it has shown, for a zone that fails
 constexpr double kFirstStep = 0.08;  // of a zone that returns
-constexpr double kShare = 0.92;      // of what its converters say that they can do
+constexpr double kShare = 0.97;      // of what its converters say that they can do
 constexpr double kBeyond = 1.25;     // of the most that it has done, where they say nothing
 constexpr double kFewUsed = 0.15;    // below, how busy they are tells little of what they can do
 constexpr double kShownGain = 0.15;
@@ -29,7 +29,7 @@
 constexpr Duration kRelapseMemory{30000};
 constexpr double kFirstOfLike = 0.2;    // of what another zone's converters have shown, each
 constexpr double kFirstOfDemand = 0.1;  // where none has shown anything
-constexpr double kMargin = 1.1;         // over what is asked, for chance
+constexpr double kMargin = 1.03;        // over what is asked, for chance
 constexpr double kOptional = 0.5;       // of the room left over, for all: the rest waits for a fault
 constexpr double kPairTrial = 0.01;     // of its limit, for a zone that fails its own members alone
 constexpr Duration kFirstShut{5000}, kLongestShut{80000};  // a zone to an origin that it fails
@@ -273,13 +273,17 @@
                      word("it is slow"));
       return Learn(now, &zone, seen);
     case ZoneState::kLimping:
-      if (fails) return enter(ZoneState::kDark, kTrial * zone.shown, word("it fails"));
+      // Attempts that were out when it slowed down end badly for a while: what answers is not dark.
+      if (fails && seen.served < kTrial * zone.shown)
+        return enter(ZoneState::kDark, kTrial * zone.shown, word("it fails"));
       if (zone.well && now - zone.well_since >= kWell)
         return enter(ZoneState::kReturning, std::max(zone.limit, kFirstStep * zone.shown),
                      "it is as quick as before");
       if (!may_step || seen.attempts < kEnough) return;
       zone.stepped = now;
-      if (seen.latency > kCrowded * rules_.aim) {
+      if (seen.used >= kFewUsed) {  // its converters say how much of what it does now they could do
+        zone.limit = std::clamp(kShare * seen.served / seen.used, kTrial * zone.shown, zone.shown);
+      } else if (seen.latency > kCrowded * rules_.aim) {
         zone.limit = std::max(kTrial * zone.shown, kCut * std::min(zone.limit, seen.served));
       } else if (seen.latency < kQuick * rules_.aim && seen.served > 0.6 * zone.limit) {
         zone.limit = std::min(zone.shown, kGrow * zone.limit);
@@ -293,13 +297,12 @@
       return enter(ZoneState::kReturning, kFirstStep * zone.shown, "the order has ended");
     case ZoneState::kReturning:
       if (fails) return enter(ZoneState::kDark, kTrial * zone.shown, word("it failed as it returned,"));
-      if (slow && seen.latency > kCrowded * rules_.aim)
+      if (by_several(seen.slow_at))
         return enter(ZoneState::kLimping,
                      std::max(kTrial * zone.shown, kCut * std::min(zone.limit, seen.served)),
                      word("it was slow as it returned,"));
       // Each relapse makes every step wait for longer.
-      if (now - zone.stepped < rules_.step * (1 + 2 * zone.relapses) || seen.latency > kCrowded * rules_.aim)
-        return;
+      if (now - zone.stepped < rules_.step * (1 + 2 * zone.relapses) || !quick) return;
       zone.stepped = now;
       zone.limit *= kEarn;
       if (zone.limit < zone.shown) return;
--- a/src/regions/evidence.cpp
+++ b/src/regions/evidence.cpp
@@ -18,7 +18,7 @@
 constexpr double kUsualUpTo = 1.5;    // a slow answer teaches nothing about what is usual
 constexpr int kFewSamples = 10;       // below, nothing is known to be usual
 constexpr double kTooLong = 6;        // times the usual, for an attempt that is out
-constexpr Duration kLeastTooLong{250};
+constexpr Duration kLeastTooLong{500};
 constexpr double kFewAttempts = 3;  // in a second: enough to speak of a zone
 constexpr double kMostBad = 0.5;    // share: a zone that fails
 
@@ -188,12 +188,19 @@
     if (likely > 0 && (now - since).count() > std::max(kLeastTooLong.count(), kTooLong * likely))
       ++overdue[zone];
   }
+  std::vector<double> answered(zones_);  // in the two newest buckets
+  for (const int back : {0, 1}) {
+    const Bucket& bucket = buckets_[static_cast<std::size_t>((current_ + kBuckets - back) % kBuckets)];
+    for (std::size_t i = 0; i < zones_; ++i) answered[i] += bucket.zones[i].timed;
+  }
   int spoken = 0, failing = 0;
   for (std::size_t i = 0; i < zones_; ++i) {
     ZoneWord& z = evidence.zones[i];
     const Bucket::Zone& s = sums[i];
-    z.attempts = s.attempts + overdue[i];
-    z.bad = s.bad + overdue[i];
+    // While answers come, what is out for long is slow and not lost.
+    const double silent = answered[i] > 0 ? 0 : overdue[i];
+    z.attempts = s.attempts + silent;
+    z.bad = s.bad + silent;
     z.served = s.served / span;
     z.warm = i < warm_.size() ? warm_[i] : 0;
     if (s.timed > 0) z.slow = s.slow / s.timed, z.latency = s.latency / s.timed;
--- a/src/regions/member.cpp
+++ b/src/regions/member.cpp
@@ -138,7 +138,8 @@
   // A term is known by the revision at which its key was made: one that slept does not take up another's.
   if (decider_created_ != 0 && (!decider || decider->created != decider_created_)) decider_created_ = 0;
   // Its own standing, whose answer was lost on the way: else nobody would ever decide.
-  if (decider && decider_created_ == 0 && decider->value == settings_.name && lease_ != 0 && decider->lease == lease_) {
+  if (decider && decider_created_ == 0 && decider->value == settings_.name && lease_ != 0 &&
+      decider->lease == lease_) {
     decider_created_ = decider->created;
     decides_.Begin(now);
   }
--- a/tests/lab/world_test.cpp
+++ b/tests/lab/world_test.cpp
@@ -270,5 +270,46 @@
   }
 }
 
+// Twelve proxies in three zones, one of which stops and returns cold, slows, is cut one way, is evacuated;
+// etcd gone for a while. The rules hold whoever decides, and in the end all members go by one decision.
+TEST(World, RegionsKeepTheRulesThroughWhatHappensToAZone) {
+  Model model = Small();
+  model.zones = 3, model.regions = 2, model.proxies = 12, model.converters = 12;
+  model.far = Duration(2);
+  model.clients.per_second = 900;
+  model.length = 23000;
+  model.happenings = {{2000, Kind::kSlow, 0, 1, 10},
+                      {5000, Kind::kSlow, 0, 1, 1},
+                      {7000, Kind::kStop, 1, 1, 1},
+                      {8000, Kind::kEtcdDown, -1, 1, 1},
+                      {10000, Kind::kStart, 1, 1, 1},
+                      {11000, Kind::kEtcdUp, -1, 1, 1},
+                      {12000, Kind::kKill, -1, 0.5, 1},
+                      {13000, Kind::kRevive, -1, 0.5, 1},
+                      {14000, Kind::kCut, 2, 1, 1, Happening::Way::kOut},
+                      {16000, Kind::kHeal, 2, 1, 1},
+                      {17000, Kind::kEvacuate, 0, 1, 1},
+                      {19000, Kind::kReadmit, 0, 1, 1}};
+  for (const auto decide : {RegionsModel::Decide::kOff, RegionsModel::Decide::kAlone,
+                            RegionsModel::Decide::kCliff, RegionsModel::Decide::kTogether}) {
+    model.decision.decide = decide;
+    World world(model, 3);
+    const Result result = world.Run();
+    ASSERT_FALSE(result.breach) << static_cast<int>(decide) << ": " << result.breach->what;
+    ExpectAccounts(result);
+    EXPECT_GT(result.worth_share(), 0.6) << static_cast<int>(decide);
+    if (decide != RegionsModel::Decide::kTogether) continue;
+    std::uint64_t epoch = 0;
+    for (std::size_t i = 0; i < 12; ++i) {
+      const regions::Member* member = world.members()->member(i);
+      ASSERT_TRUE(member && member->decision());
+      epoch = std::max(epoch, member->decision()->epoch);
+    }
+    for (std::size_t i = 0; i < 12; ++i) EXPECT_GE(world.members()->member(i)->decision()->epoch + 1, epoch);
+    // Four beats and a lease a second, and no more for what was lost.
+    EXPECT_LT(static_cast<double>(world.members()->etcd().calls()) / 12 / 24, 7);
+  }
+}
+
 }  // namespace
 }  // namespace badgerbridge::lab
