Add badgertrial: scenarios on real processes, links that break, one merged verdict

Need: a claim about many processes is shown by many processes. The scenarios of the lab are played here too: real proxies, and converters, clients, discovery and etcd's stand-in in processes of their own, every link between zones, clients and discovery through a relay that delays, cuts one way or both, resets, half closes, swallows connections or lets them trickle. Proxies are killed, stopped, started again.

They found: Asio's connect waits for ever where the kernel drops a SYN; an accept loop that began after a cut went on through it and took the next connection with it.

--- a/src/lab/model.h
+++ b/src/lab/model.h
@@ -76,6 +76,22 @@
   Shape etcd{Shape::Kind::kExponential, 2, 1, {}};  // ms, one way
 };
 
+// What only processes and the links between them can suffer (tests/together); the lab leaves it out.
+struct TogetherFault {
+  double at = 0;
+  // freeze, thaw: proxies (SIGSTOP, SIGCONT). Of links to and from a zone's converters: reset, half_close
+  // (once); swallow (a share of new connections), delay (ms), trickle (bytes a second), until one with value
+  // 0.
+  std::string what;
+  int zone = -1;
+  double share = 1, value = 0;
+};
+struct TogetherModel {
+  int etcd_members = 0;
+  double least_worth_percent = 0;  // of what was asked, or the trial does not hold
+  std::vector<TogetherFault> faults;
+};
+
 struct Model {
   std::string name;
   double length = 60000;  // of the load; what is open then is played to its end
@@ -92,6 +108,7 @@
   int regions = 1;  // of zones, by their numbers
   Duration far{0};  // one way more between regions
   RegionsModel decision;
+  TogetherModel together;
   std::vector<Happening> happenings;  // by time
 
   // Work that all converters do a ms once warm, over what is asked of them.
--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -154,6 +154,25 @@
     model.decision.etcd = ReadShape(*table, "etcd", model.decision.etcd);
     table->Finish();
   }
+  if (const auto table = top.Table("together")) {
+    model.together.etcd_members = static_cast<int>(table->Whole("etcd_members", 0, 0, 9));
+    model.together.least_worth_percent = static_cast<double>(table->Whole("least_worth_percent", 0, 0, 100));
+    for (const auto& fault : table->Tables("fault")) {
+      constexpr std::array<std::string_view, 7> kFaults = {"freeze",  "thaw",  "reset",  "half_close",
+                                                           "swallow", "delay", "trickle"};
+      TogetherFault& one = model.together.faults.emplace_back();
+      fault->Require("at", "when it happens");
+      fault->Require("what", "what happens");
+      one.at = Ms(fault->Duration("at", milliseconds(0), milliseconds(0), kDay));
+      one.what = kFaults[OneOf(*fault, "what", kFaults, 0)];
+      one.zone = static_cast<int>(fault->Whole("zone", -1, -1, model.zones - 1));
+      one.share = static_cast<double>(fault->Whole("share_percent", 100, 1, 100)) / 100;
+      one.value = static_cast<double>(fault->Whole("value", 0, 0, 1000000000));
+      if (one.what == "swallow") one.value = std::min(1.0, one.value / 100);
+      fault->Finish();
+    }
+    table->Finish();
+  }
   for (const auto& table : top.Tables("class")) {
     ReadClass(*table, &model.classes.emplace_back());
     table->Finish();
--- a/tests/node_process_test.cpp
+++ b/tests/node_process_test.cpp
@@ -1,16 +1,20 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // badgerbridge as a process: bad configurations, too few descriptors, signals.
+#include <elf.h>
 #include <gtest/gtest.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <boost/asio/steady_timer.hpp>
 #include <csignal>
 #include <cstdlib>
+#include <cstring>
 #include <filesystem>
 #include <fstream>
 #include <map>
+#include <set>
 #include <sstream>
 #include <thread>
 
@@ -144,6 +148,81 @@
   EXPECT_EQ(held["control"].second, 1u);
 }
 
+// The names that the program takes from shared libraries, and the loader that it asks for (elf(5)).
+std::pair<std::set<std::string>, std::string> Imports(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  const std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+  std::pair<std::set<std::string>, std::string> out;
+  const auto at = [&](std::size_t offset, auto* to) {
+    if (offset + sizeof *to <= text.size()) std::memcpy(to, text.data() + offset, sizeof *to);
+  };
+  Elf64_Ehdr head{};
+  at(0, &head);
+  for (unsigned i = 0; i < head.e_phnum; ++i) {
+    Elf64_Phdr part{};
+    at(head.e_phoff + i * sizeof part, &part);
+    if (part.p_type == PT_INTERP) out.second = text.substr(part.p_offset, part.p_filesz);
+  }
+  for (unsigned i = 0; i < head.e_shnum; ++i) {
+    Elf64_Shdr symbols{}, names{};
+    at(head.e_shoff + i * sizeof symbols, &symbols);
+    if (symbols.sh_type != SHT_DYNSYM) continue;
+    at(head.e_shoff + symbols.sh_link * sizeof names, &names);
+    for (std::size_t offset = 0; offset < symbols.sh_size; offset += sizeof(Elf64_Sym)) {
+      Elf64_Sym symbol{};
+      at(symbols.sh_offset + offset, &symbol);
+      if (symbol.st_shndx == SHN_UNDEF) out.first.insert(text.c_str() + names.sh_offset + symbol.st_name);
+    }
+  }
+  return out;
+}
+
+// The operators play hundreds of proxies on one machine, by a library in each that is loaded before the C
+// library: `run` must be one process, linked dynamically, and may start no other nor use these calls.
+TEST(NodeProcess, RunIsOneProcessLinkedDynamicallyThatStartsNoOther) {
+  std::ifstream deploy(SOURCE_DIR "/deploy/balancer.toml");
+  std::string run;
+  for (std::string line; std::getline(deploy, line);) {
+    if (line.rfind("run = ", 0) == 0) run = line;
+  }
+  EXPECT_EQ(run.rfind("run = \"exec ", 0), 0u) << run;
+  EXPECT_EQ(run.find_first_of("|&;()<>`$"), std::string::npos) << run;
+  const auto [names, loader] = Imports(NODE_PATH);
+  EXPECT_NE(loader.find("ld-linux"), std::string::npos) << loader;
+  EXPECT_EQ(names.count("epoll_wait"), 1u) << "the test must see what is imported";
+  for (const char* name :
+       {"fork",   "vfork", "_Fork",    "clone",    "clone3",     "posix_spawn",     "posix_spawnp",
+        "system", "popen", "execv",    "execve",   "execvp",     "execl",           "execlp",
+        "splice", "tee",   "vmsplice", "sendfile", "sendfile64", "copy_file_range", "io_uring_setup"})
+    EXPECT_EQ(names.count(name), 0u) << name;
+}
+
+// What a proxy without traffic costs the fleet: no connection to any converter, one to discovery.
+TEST(NodeProcess, WithoutTrafficItTouchesNoConverterAndKeepsOneWatch) {
+  asio::io_context io;
+  Peer backend(io, [](Wire&) {});
+  Peer discovery(
+      io, [&](Wire& wire) { wire.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n"); });
+  std::string config =
+      ConfigJson({EndpointJson("a", backend.address()), EndpointJson("b", backend.address())});
+  config.replace(config.find("127.0.0.1:1\""), 12, discovery.address() + "\"");
+  Program program(config, OwnAddress());
+  const auto client = ConnectTo(io, OwnAddress());
+  ASSERT_TRUE(client);
+  client->Send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+  ASSERT_TRUE(RunUntil(
+      io, [&] { return client->in.find("200") != std::string::npos && !discovery.requests.empty(); }));
+  // Longer than its housekeeping and any pause between two probes would be.
+  asio::steady_timer quiet(io, std::chrono::milliseconds(1200));
+  bool over = false;
+  quiet.async_wait([&](ErrorCode) { over = true; });
+  ASSERT_TRUE(RunUntil(io, [&] { return over; }));
+  EXPECT_TRUE(backend.wires.empty());
+  EXPECT_EQ(discovery.wires.size(), 1u);
+  EXPECT_EQ(discovery.requests.size(), 1u);
+  EXPECT_EQ(program.Entries("task"), 1u);
+}
+
 TEST(NodeProcess, TermAnswersWhatWasTakenAndExitsWithZero) {
   asio::io_context io;
   Wire* waiting = nullptr;
--- a/tests/standins/clients.h
+++ b/tests/standins/clients.h
@@ -32,10 +32,37 @@
   std::uint64_t answered() const { return served + refused + failed; }
 };
 
+enum class Kind { kSafe, kKeyed, kUnsafe };
+
+struct LoadClass {
+  std::string name;
+  Kind kind = Kind::kSafe;
+  double share = 1;  // of the requests, by weight
+  std::chrono::milliseconds deadline{1500};
+};
+
 struct Load {
   double per_second = 200;
-  std::chrono::milliseconds deadline{1500};
+  std::chrono::milliseconds deadline{1500};  // of the three usual classes
   std::uint64_t seed = 1;
+  std::string name = "r";               // of its ids: two clients of one name and seed would use the same
+  std::vector<LoadClass> classes = {};  // none: preview, convert and certify, in turn
+  // Work in ms of a request of this class: hinted, and told to the converter in the query. None: neither.
+  std::function<double(std::size_t request_class)> work = nullptr;
+  // Further tries after a refusal, or a failure that may be repeated, each a request of its own.
+  int tries = 1;
+  std::chrono::milliseconds pause{100};  // before another try, in the mean
+};
+
+// What became of one request, told once.
+struct Record {
+  enum class End { kServed, kRefused, kFailed, kLost, kUnsent };
+  std::string id;
+  std::size_t request_class = 0, proxy = 0;                  // no proxy: their number
+  int attempt = 0;                                           // of its client's tries, from 0
+  std::chrono::steady_clock::time_point began, sent, ended;  // the first try; written whole; over
+  End end = End::kServed;
+  bool doubled = false;  // something came after the answer, or the answer is not its own
 };
 
 class Clients {
@@ -57,6 +84,10 @@
   const std::set<std::string>& served_ids() const { return served_ids_; }
   // Called for each answer, with the time that it took from the first byte of its request.
   void OnAnswer(std::function<void(double ms)> told) { on_answer_ = std::move(told); }
+  // Called for each request once it is over.
+  void OnRecord(std::function<void(const Record&)> told) { on_record_ = std::move(told); }
+  // From here on the load is so many times what it was made with.
+  void Scale(double factor) { scale_ = factor; }
   // The front leaves this proxy out, whatever it says of itself.
   void Avoid(std::size_t proxy, bool avoid) { avoided_[proxy] = avoid; }
 
@@ -67,6 +98,8 @@
   boost::asio::awaitable<void> Pace(std::uint64_t turn);
   boost::asio::awaitable<void> Front(std::size_t proxy, std::uint64_t turn);
   boost::asio::awaitable<void> Ask(std::uint64_t number);
+  boost::asio::awaitable<bool> Try(Record* record, double work);
+  std::size_t PickProxy();
   void Close();
 
   boost::asio::io_context& io_;
@@ -79,9 +112,11 @@
   std::vector<Account> each_;
   std::set<std::string> served_ids_;
   std::function<void(double)> on_answer_;
+  std::function<void(const Record&)> on_record_;
+  double share_sum_ = 0, scale_ = 1;
   std::size_t out_ = 0, next_ = 0;
   std::uint64_t number_ = 0, turn_ = 0;
-  bool running_ = false;
+  bool running_ = false, in_turn_ = true;  // classes one after another
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- /dev/null
+++ b/tests/together/main.cpp
@@ -0,0 +1,102 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// badgertrial: plays a scenario of the lab with real processes on loopback, and judges it by what converters
+// and clients wrote down.
+#include <CLI/CLI.hpp>
+#include <boost/asio/io_context.hpp>
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+#include <iostream>
+
+#include "lab/scenario.h"
+#include "together/roles.h"
+#include "together/trial.h"
+
+namespace {
+
+using namespace badgerbridge;
+
+constexpr int kHeld = 0, kBroke = 1, kUsage = 2;
+
+int Play(const lab::Model& model, std::uint64_t seed, const std::string& self, bool verbose) {
+  const double began = together::NowMs();
+  boost::asio::io_context io(1);
+  together::Outcome outcome;
+  try {
+    together::Trial trial(io, model, seed, self, std::filesystem::path(self).parent_path() / "badgerbridge");
+    outcome = trial.Run();
+  } catch (const std::exception& bad) {
+    std::cout << "trial: plan=\"" << model.name << "\" seed=" << seed << " did not run: " << bad.what()
+              << std::endl;
+    return kBroke;
+  }
+  const together::Verdict& v = outcome.verdict;
+  const bool holds = outcome.holds() && 100 * outcome.worth_share() >= model.together.least_worth_percent;
+  if (!holds || verbose) {
+    for (const std::string& line : outcome.timeline) std::cout << line << '\n';
+    for (const std::string& line : outcome.troubles) std::cout << "TROUBLE: " << line << '\n';
+    for (const std::string& line : v.breaches) std::cout << "BROKEN: " << line << '\n';
+  }
+  std::printf(
+      "trial: plan=\"%s\" seed=%llu processes=%zu requests=%llu served=%llu refused=%llu failed=%llu "
+      "unsent=%llu "
+      "excused=%llu lost=%llu doubled=%llu twice=%llu late_sends=%llu fell=%llu unaccounted=%llu "
+      "troubles=%zu worth=%.3f "
+      "seconds=%.1f %s\n",
+      model.name.c_str(), static_cast<unsigned long long>(seed), outcome.processes,
+      static_cast<unsigned long long>(v.requests), static_cast<unsigned long long>(v.served),
+      static_cast<unsigned long long>(v.refused), static_cast<unsigned long long>(v.failed),
+      static_cast<unsigned long long>(v.unsent), static_cast<unsigned long long>(v.excused),
+      static_cast<unsigned long long>(v.lost), static_cast<unsigned long long>(v.doubled),
+      static_cast<unsigned long long>(v.twice), static_cast<unsigned long long>(v.late_sends),
+      static_cast<unsigned long long>(v.fell), static_cast<unsigned long long>(v.unaccounted),
+      outcome.troubles.size(), outcome.worth_share(), (together::NowMs() - began) / 1000,
+      holds ? "holds" : "BROKEN");
+  return holds ? kHeld : kBroke;
+}
+
+}  // namespace
+
+int main(int count, char** arguments) {
+  std::signal(SIGPIPE, SIG_IGN);
+  CLI::App app("badgertrial: plays scenarios with real processes on loopback");
+  app.footer(
+      "Exit codes: 0 all held; 1 something was broken, or did not run; 2 usage, or a file that is not to be "
+      "used.");
+  app.require_subcommand(1);
+  std::vector<std::string> paths;
+  std::string role;
+  std::uint64_t seed = 1;
+  bool verbose = false;
+  auto* run = app.add_subcommand("run", "play plans, one after another");
+  run->add_option("plans", paths, "scenario files with a [together] table")->required();
+  run->add_option("--seed", seed, "of all that is drawn (1)");
+  run->add_flag("--verbose", verbose, "print what was done, also when all holds");
+  auto* part = app.add_subcommand("role", "a part of a trial; started by `run`");
+  part->add_option("name", role)->required();
+  try {
+    app.parse(count, arguments);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? kHeld : kUsage;
+  }
+  if (part->parsed()) {
+    if (role == "converters") return together::PlayConverters();
+    if (role == "clients") return together::PlayClients();
+    if (role == "discovery") return together::PlayDiscovery();
+    if (role == "wire") return together::PlayWire();
+    if (role == "etcd") return together::PlayEtcd();
+    std::cerr << "badgertrial: there is no part " << role << '\n';
+    return kUsage;
+  }
+  const std::string self = std::filesystem::read_symlink("/proc/self/exe");
+  int code = kHeld;
+  for (const std::string& path : paths) {
+    operator_file::Problems problems;
+    const lab::Model model = lab::LoadScenario(path, problems);
+    std::cerr << operator_file::Lines(problems);
+    if (!problems.empty()) return kUsage;
+    code = std::max(code, Play(model, seed, self, verbose));
+  }
+  return code;
+}
--- /dev/null
+++ b/tests/together/trial.cpp
@@ -0,0 +1,588 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "together/trial.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/json.hpp>
+#include <cmath>
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+
+#include "api/address.h"
+#include "together/roles.h"
+
+namespace badgerbridge::together {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using lab::Happening;
+
+namespace {
+
+constexpr double kSettle = 1500;       // ms after the load's end, for what is open
+constexpr double kAfterRevive = 1500;  // ms until a proxy that was started again counts as running
+constexpr double kPoll = 50;
+
+double UnixMs() {
+  return std::chrono::duration<double, std::milli>(std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+std::string ZoneName(int zone) { return "z" + std::to_string(zone); }
+std::string ClientsName(int zone) { return "clients-" + std::to_string(zone); }
+
+}  // namespace
+
+Trial::Trial(asio::io_context& io, lab::Model model, std::uint64_t seed, std::string self, std::string proxy)
+    : io_(io),
+      model_(std::move(model)),
+      seed_(seed),
+      self_(std::move(self)),
+      program_(std::move(proxy)),
+      lags_(seed, 1),
+      cut_in_(static_cast<std::size_t>(model_.zones)),
+      cut_out_(static_cast<std::size_t>(model_.zones)),
+      ready_proxies_(static_cast<std::size_t>(model_.zones)) {
+  std::string folder = (std::filesystem::temp_directory_path() / "badgertrial_XXXXXX").string();
+  if (!mkdtemp(folder.data())) throw std::runtime_error("cannot make " + folder);
+  folder_ = folder;
+}
+
+Trial::~Trial() {
+  proxies_.clear();
+  zones_.clear();
+  clients_.clear();
+  wire_.reset();
+  discovery_.reset();
+  etcd_.reset();
+  std::error_code ignored;
+  std::filesystem::remove_all(folder_, ignored);
+}
+
+// Each zone has an address block of its own; the process's number keeps two trials apart.
+std::string Trial::Host(int block, int number) const {
+  const int pid = getpid();
+  return "127." + std::to_string(80 + block % 40) + "." + std::to_string(pid % 250) + "." +
+         std::to_string(1 + number % 250);
+}
+
+void Trial::Note(std::string text) {
+  char at[32];
+  std::snprintf(at, sizeof at, "%8.0f ms  ", began_ > 0 ? NowMs() - began_ : 0.0);
+  outcome_.timeline.push_back(at + std::move(text));
+}
+
+void Trial::Until(const std::function<bool()>& holds, const std::string& what, double most_ms) {
+  const double due = NowMs() + most_ms;
+  while (!holds()) {
+    if (NowMs() > due) throw std::runtime_error("not in time: " + what);
+    io_.restart();
+    io_.run_for(std::chrono::milliseconds(5));
+  }
+}
+
+std::unique_ptr<Child> Trial::Part(const std::string& role, const std::string& name) {
+  ++processes_;
+  return std::make_unique<Child>(
+      io_, name, std::vector<std::string>{self_, "role", role}, std::vector<std::string>{},
+      folder_ + "/" + name + ".log", [this, name](const json::object& line) {
+        if (line.contains("error")) {
+          outcome_.troubles.push_back(name + ": " + json::serialize(line.at("error")));
+          return;
+        }
+        if (line.contains("ready")) {
+          ++ready_parts_;
+          const auto found = waiting_.find(name);
+          if (found != waiting_.end()) found->second(line);
+          return;
+        }
+        if (line.contains("ready_proxies")) {
+          const auto zone = static_cast<std::size_t>(std::stoi(name.substr(8)));
+          ready_proxies_[zone] = line.at("ready_proxies").to_number<std::size_t>();
+          return;
+        }
+        Collect(line);
+      });
+}
+
+void Trial::StartParts() {
+  const int groups = std::max(1, model_.groups);
+  for (int i = 0; i < model_.converters; ++i) {
+    Converter one;
+    one.zone = i % model_.zones;
+    one.place = static_cast<std::size_t>(i / model_.zones);
+    one.group = i / model_.zones % groups;
+    one.name = "c" + std::to_string(i + 1);
+    one.relayed.resize(static_cast<std::size_t>(model_.zones));
+    converters_.push_back(std::move(one));
+  }
+  double window = 0;
+  for (const lab::ClassModel& c : model_.classes) window = std::max(window, c.rules.window.count());
+  for (int z = 0; z < model_.zones; ++z) {
+    zones_.push_back(Part("converters", ZoneName(z)));
+    json::array all;
+    for (const Converter& c : converters_) {
+      if (c.zone == z) all.push_back(json::object{{"name", c.name}, {"group", c.group}});
+    }
+    waiting_[ZoneName(z)] = [this, z](const json::object& line) {
+      const json::array& addresses = line.at("addresses").as_array();
+      for (Converter& c : converters_) {
+        if (c.zone == z) c.address = addresses.at(c.place).as_string();
+      }
+    };
+    const lab::ConverterModel& m = model_.converter;
+    zones_.back()->Tell({{"do", "begin"},
+                         {"zone", ZoneName(z)},
+                         {"host", Host(z, 1)},
+                         {"window_ms", window},
+                         {"slots", m.slots},
+                         {"queue", m.queue},
+                         {"speed", m.speed},
+                         {"cold_from", m.cold_from},
+                         {"warm_up_ms", m.warm_up.count()},
+                         {"fall_multiple", m.fall_multiple},
+                         {"overload_for_ms", m.overload_for.count()},
+                         {"converters", std::move(all)}});
+  }
+  wire_ = Part("wire", "wire");
+  discovery_ = Part("discovery", "discovery");
+  json::array names;
+  for (int i = 0; i < model_.proxies; ++i) {
+    Proxy proxy;
+    proxy.name = "n" + std::to_string(i + 1);
+    proxy.zone = i % model_.zones;
+    names.push_back(json::value(proxy.name));
+    // Free a moment ago, on an address of this trial's own.
+    asio::ip::tcp::acceptor held(io_, {asio::ip::make_address_v4(Host(proxy.zone, 2)), 0});
+    proxy.listen = api::ToText(held.local_endpoint());
+    proxies_.push_back(std::move(proxy));
+  }
+  waiting_["discovery"] = [this](const json::object& line) {
+    for (Proxy& proxy : proxies_) proxy.discovery = line.at("addresses").at(proxy.name).as_string();
+  };
+  discovery_->Tell({{"do", "begin"}, {"proxies", std::move(names)}});
+  if (model_.together.etcd_members > 0) {
+    etcd_ = Part("etcd", "etcd");
+    etcd_->Tell({{"do", "begin"}, {"members", model_.together.etcd_members}});
+  }
+  const std::size_t parts = zones_.size() + 2 + (etcd_ ? 1 : 0);
+  Until([&] { return ready_parts_ == parts; }, "all parts say that they are ready");
+}
+
+void Trial::OpenLinks() {
+  const auto open = [&](const std::string& from, const std::string& to, const std::string& target,
+                        const std::string& host, std::string* at) {
+    const std::size_t number = opened_.size();
+    opened_.emplace_back();
+    wire_->Tell(
+        {{"do", "open"}, {"from", from}, {"to", to}, {"target", target}, {"host", host}, {"number", number}});
+    Until([&] { return !opened_[number].empty(); }, "the relay listens for " + from + " to " + to);
+    *at = opened_[number];
+  };
+  for (Converter& c : converters_) {
+    for (int z = 0; z < model_.zones; ++z)
+      open(ZoneName(z), ZoneName(c.zone), c.address, Host(z, 3), &c.relayed[static_cast<std::size_t>(z)]);
+  }
+  for (Proxy& proxy : proxies_) {
+    open(ClientsName(proxy.zone), ZoneName(proxy.zone), proxy.listen, Host(proxy.zone, 4), &proxy.relayed);
+    std::string discovery;
+    open(ZoneName(proxy.zone), "discovery", proxy.discovery, Host(proxy.zone, 5), &discovery);
+    proxy.discovery = discovery;
+  }
+}
+
+std::string Trial::Config(const Proxy& proxy) const {
+  json::array classes, zones, known;
+  constexpr const char* kEffects[] = {"read_like", "idempotency_key", "non_idempotent"};
+  constexpr const char* kGroups[] = {"all", "zone", "cell"};
+  for (const lab::ClassModel& c : model_.classes)
+    classes.push_back(json::object{{"name", c.name},
+                                   {"effect", kEffects[static_cast<int>(c.rules.effect)]},
+                                   {"group", kGroups[static_cast<int>(c.rules.group)]},
+                                   {"windowMs", c.rules.window.count()},
+                                   {"goalTimeMs", c.rules.aim.count()},
+                                   {"deadlineMs", c.rules.deadline.count()},
+                                   {"worth", c.rules.worth},
+                                   {"lateWorth", c.rules.late_worth}});
+  for (int z = 0; z < model_.zones; ++z) zones.push_back(json::value(ZoneName(z)));
+  const auto me = static_cast<int>(&proxy - proxies_.data());
+  return json::serialize(json::object{
+      {"name", proxy.name},
+      {"listen", proxy.listen},
+      {"discovery", proxy.discovery},
+      {"seed", std::to_string(100 + seed_ % 1000 * 100 + static_cast<std::uint64_t>(me + proxy.lives * 10))},
+      {"limits", json::object{{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}},
+      {"settings",
+       json::object{{"balancers", model_.proxies},
+                    {"me", me},
+                    {"zone", proxy.zone},
+                    {"zones", std::move(zones)},
+                    {"kinds", json::array{"standard"}},
+                    {"tenants", json::array{}},
+                    {"periodMs", 5.0},
+                    {"registryMode", "push"},
+                    {"classes", std::move(classes)},
+                    {"permissions", json::object{{"maxAttempts", model_.max_attempts},
+                                                 {"connectTimeoutMs", model_.network.connect_timeout.count()},
+                                                 {"connIdleMs", 60000.0},
+                                                 {"retryAfter", model_.max_retry_after.count() > 0},
+                                                 {"maxRetryAfterMs", model_.max_retry_after.count()}}},
+                    {"rules", json::object{{"coldFrom", model_.converter.cold_from},
+                                           {"warmUpMs", model_.converter.warm_up.count()},
+                                           {"fallMultiple", std::max(1.0, model_.converter.fall_multiple)},
+                                           {"overloadForMs", model_.converter.overload_for.count()},
+                                           {"drainGraceMs", model_.drain_grace.count()}}}}}});
+}
+
+void Trial::StartProxy(Proxy& proxy) {
+  ++proxy.lives;
+  ++processes_;
+  const std::string path = folder_ + "/" + proxy.name + ".json";
+  std::ofstream(path, std::ios::trunc) << Config(proxy);
+  proxy.process = std::make_unique<Child>(io_, proxy.name, std::vector<std::string>{program_},
+                                          std::vector<std::string>{"ROUTER_CONFIG=" + path},
+                                          folder_ + "/" + proxy.name + ".log");
+}
+
+// Tells every proxy, each after a time of its own.
+void Trial::List(Converter& converter) {
+  for (const Proxy& proxy : proxies_) {
+    const json::object order{{"do", "set"},
+                             {"proxy", proxy.name},
+                             {"name", converter.name},
+                             {"address", converter.relayed[static_cast<std::size_t>(proxy.zone)]},
+                             {"zone", ZoneName(converter.zone)},
+                             {"status", converter.status},
+                             {"group", converter.group},
+                             {"since_ms", converter.since_ms}};
+    auto act = [this, order] { discovery_->Tell(order); };
+    if (began_ == 0) {
+      act();
+    } else if (stale_) {
+      held_back_.push_back(std::move(act));
+    } else {
+      due_.push_back({NowMs() + model_.network.lag.Draw(lags_), std::move(act)});
+    }
+  }
+}
+
+// All links anew: what is cut, and what only links can suffer.
+void Trial::SetLinks() {
+  for (int from = 0; from < model_.zones; ++from) {
+    for (int to = 0; to < model_.zones; ++to) {
+      const auto f = static_cast<std::size_t>(from), t = static_cast<std::size_t>(to);
+      double delay = model_.RegionOf(from) != model_.RegionOf(to) ? model_.far.count() : 0;
+      double swallowed = 0, bytes = 0;
+      for (const auto& [what, fault] : link_faults_) {
+        if (fault.zone >= 0 && fault.zone != to && fault.zone != from) continue;
+        if (fault.what == "delay") delay += fault.value;
+        if (fault.what == "swallow") swallowed = fault.value;
+        if (fault.what == "trickle") bytes = fault.value;
+      }
+      wire_->Tell({{"do", "link"},
+                   {"from", ZoneName(from)},
+                   {"to", ZoneName(to)},
+                   {"delay_ms", delay},
+                   {"jitter_ms", delay / 4},
+                   {"swallowed", swallowed},
+                   {"bytes_per_s", bytes},
+                   {"cut_there", from != to && (cut_out_[f] || cut_in_[t])},
+                   {"cut_back", from != to && (cut_out_[t] || cut_in_[f])}});
+    }
+  }
+}
+
+void Trial::Happen(const Happening& what) {
+  using Kind = Happening::Kind;
+  constexpr const char* kNames[] = {
+      "drain", "stop", "start",     "slow",    "wrong",    "pause",   "kill",        "revive",     "load",
+      "cut",   "heal", "etcd down", "etcd up", "evacuate", "readmit", "stale lists", "fresh lists"};
+  Note(std::string(kNames[static_cast<int>(what.kind)]) +
+       (what.zone >= 0 ? ", zone " + std::to_string(what.zone) : std::string()));
+  if (what.kind == Kind::kLoad) {
+    for (const auto& part : clients_) part->Tell({{"do", "load"}, {"value", what.value}});
+    return;
+  }
+  if (what.kind == Kind::kCut || what.kind == Kind::kHeal) {
+    const bool cut = what.kind == Kind::kCut;
+    for (std::size_t z = 0; z < cut_in_.size(); ++z) {
+      if (what.zone >= 0 && z != static_cast<std::size_t>(what.zone)) continue;
+      if (!cut || what.way != Happening::Way::kOut) cut_in_[z] = cut;
+      if (!cut || what.way != Happening::Way::kIn) cut_out_[z] = cut;
+    }
+    return SetLinks();
+  }
+  if (what.kind == Kind::kStaleLists || what.kind == Kind::kFreshLists) {
+    stale_ = what.kind == Kind::kStaleLists;
+    if (!stale_) {
+      for (auto& act : std::exchange(held_back_, {})) act();
+    }
+    return;
+  }
+  if (what.kind == Kind::kEtcdDown || what.kind == Kind::kEtcdUp) {
+    if (etcd_) etcd_->Tell({{"do", what.kind == Kind::kEtcdDown ? "down" : "up"}});
+    return;
+  }
+  if (what.kind == Kind::kEvacuate || what.kind == Kind::kReadmit) return;  // nobody follows orders here yet
+  // A share, evenly spread, as the lab has it.
+  double sum = 0;
+  const auto chosen = [&](int zone) {
+    if (what.zone >= 0 && zone != what.zone) return false;
+    sum += what.share;
+    if (sum < 1 - 1e-9) return false;
+    sum -= 1;
+    return true;
+  };
+  if (what.kind == Kind::kKill || what.kind == Kind::kRevive) {
+    for (Proxy& proxy : proxies_) {
+      if (!chosen(proxy.zone)) continue;
+      if (what.kind == Kind::kKill && proxy.down_since < 0) {
+        proxy.process->Signal(SIGCONT);
+        proxy.process->Signal(SIGKILL);
+        proxy.down_since = NowMs();
+      } else if (what.kind == Kind::kRevive && proxy.down_since >= 0) {
+        StartProxy(proxy);
+        history_.excuses.push_back({proxy.name, proxy.down_since, NowMs() + kAfterRevive});
+        proxy.down_since = -1;
+      }
+    }
+    return;
+  }
+  for (Converter& c : converters_) {
+    if (!chosen(c.zone)) continue;
+    json::object order{{"which", json::array{c.place}}, {"value", what.value}};
+    switch (what.kind) {
+      case Kind::kDrain:
+        c.status = "Terminating";
+        List(c);
+        continue;
+      case Kind::kStop:
+        order["do"] = "stop";
+        c.status = "Gone";
+        List(c);
+        break;
+      case Kind::kStart:
+        order["do"] = "start";
+        c.status = "Ready";
+        c.since_ms = UnixMs();
+        List(c);
+        break;
+      case Kind::kSlow:
+        order["do"] = "slow";
+        break;
+      case Kind::kWrong:
+        order["do"] = "wrong";
+        break;
+      default:
+        order["do"] = "pause";
+        break;
+    }
+    zones_[static_cast<std::size_t>(c.zone)]->Tell(order);
+  }
+}
+
+void Trial::Suffer(const lab::TogetherFault& what) {
+  Note(what.what + (what.zone >= 0 ? ", zone " + std::to_string(what.zone) : std::string()));
+  if (what.what == "freeze" || what.what == "thaw") {
+    double sum = 0;
+    for (Proxy& proxy : proxies_) {
+      if (what.zone >= 0 && proxy.zone != what.zone) continue;
+      sum += what.share;
+      if (sum < 1 - 1e-9) continue;
+      sum -= 1;
+      if (proxy.down_since >= 0) continue;
+      if (what.what == "freeze" && proxy.frozen_since < 0) {
+        proxy.process->Signal(SIGSTOP);
+        proxy.frozen_since = NowMs();
+      } else if (what.what == "thaw" && proxy.frozen_since >= 0) {
+        proxy.process->Signal(SIGCONT);
+        history_.excuses.push_back({proxy.name, proxy.frozen_since, NowMs() + 100});
+        proxy.frozen_since = -1;
+      }
+    }
+    return;
+  }
+  if (what.what == "reset" || what.what == "half_close") {
+    for (int from = 0; from < model_.zones; ++from) {
+      for (int to = 0; to < model_.zones; ++to) {
+        if (what.zone >= 0 && to != what.zone) continue;
+        wire_->Tell({{"do", what.what == "reset" ? "reset" : "half"},
+                     {"from", ZoneName(from)},
+                     {"to", ZoneName(to)}});
+      }
+    }
+    return;
+  }
+  if (what.value > 0) {
+    link_faults_[what.what + std::to_string(what.zone)] = what;
+  } else {
+    link_faults_.erase(what.what + std::to_string(what.zone));
+  }
+  SetLinks();
+}
+
+// A line of some part's account.
+void Trial::Collect(const json::object& line) {
+  if (const json::value* at = line.if_contains("opened")) {
+    opened_.at(line.at("number").to_number<std::size_t>()) = std::string(at->as_string());
+  } else if (const json::value* name = line.if_contains("fell")) {
+    history_.fell.emplace_back(name->as_string());
+    Note(history_.fell.back() + " fell over");
+  }
+  if (const json::value* all = line.if_contains("asked")) {
+    for (const json::value& value : all->as_array()) {
+      const json::array& a = value.as_array();
+      history_.asked.push_back({std::string(a[0].as_string()), a[1].to_number<std::size_t>(),
+                                std::string(a[2].as_string()), a[3].to_number<double>(),
+                                a[4].to_number<double>(), a[5].to_number<double>(),
+                                static_cast<Asked::End>(a[6].to_number<int>()), a[7].as_bool()});
+    }
+  }
+  if (const json::value* all = line.if_contains("came")) {
+    for (const json::value& value : all->as_array()) {
+      const json::array& a = value.as_array();
+      history_.came.push_back({std::string(a[0].as_string()), std::string(a[1].as_string()),
+                               std::string(a[2].as_string()), std::string(a[3].as_string()),
+                               a[4].to_number<double>(), a[5].as_bool()});
+    }
+  }
+  if (const json::value* all = line.if_contains("told")) {
+    for (const json::value& value : all->as_array()) {
+      const json::array& a = value.as_array();
+      history_.told.push_back({std::string(a[0].as_string()), std::string(a[1].as_string()), a[2].as_bool(),
+                               a[3].to_number<double>()});
+    }
+  }
+  if (const json::value* wanted = line.if_contains("wanted"))
+    history_.wanted += wanted->to_number<std::uint64_t>();
+  if (const json::value* malformed = line.if_contains("malformed");
+      malformed && malformed->to_number<int>() > 0)
+    outcome_.troubles.push_back("a converter was sent what no proxy may send");
+  if (line.contains("ended")) ++ended_parts_;
+}
+
+void Trial::Gather() {
+  for (const auto& part : clients_) part->Tell({{"do", "end"}});
+  Until([&] { return ended_parts_ == clients_.size(); }, "the clients' accounts");
+  for (const auto& part : zones_) part->Tell({{"do", "end"}});
+  discovery_->Tell({{"do", "end"}});
+  wire_->Tell({{"do", "end"}});
+  if (etcd_) etcd_->Tell({{"do", "end"}});
+  const std::size_t parts = clients_.size() + zones_.size() + 2 + (etcd_ ? 1 : 0);
+  Until([&] { return ended_parts_ == parts; }, "the accounts of all parts");
+}
+
+Outcome Trial::Run() {
+  StartParts();
+  OpenLinks();
+  SetLinks();
+  for (Converter& c : converters_) List(c);
+  for (Proxy& proxy : proxies_) StartProxy(proxy);
+  std::vector<std::size_t> expected(static_cast<std::size_t>(model_.zones));
+  for (int z = 0; z < model_.zones; ++z) {
+    clients_.push_back(Part("clients", ClientsName(z)));
+    json::array proxies, classes;
+    for (const Proxy& proxy : proxies_) {
+      if (proxy.zone == z) proxies.push_back(json::object{{"name", proxy.name}, {"address", proxy.relayed}});
+    }
+    expected[static_cast<std::size_t>(z)] = proxies.size();
+    for (const lab::ClassModel& c : model_.classes)
+      classes.push_back(json::object{{"name", c.name},
+                                     {"effect", static_cast<int>(c.rules.effect)},
+                                     {"share", c.share},
+                                     {"deadline_ms", c.rules.deadline.count()},
+                                     {"work_kind", static_cast<int>(c.work.kind)},
+                                     {"work_ms", c.work.mean},
+                                     {"work_spread", c.work.spread}});
+    clients_.back()->Tell({{"do", "begin"},
+                           {"name", ClientsName(z) + "-"},
+                           {"seed", seed_},
+                           {"per_second", model_.clients.per_second / model_.zones},
+                           {"tries", model_.clients.tries},
+                           {"pause_ms", model_.clients.pause.Mean()},
+                           {"proxies", std::move(proxies)},
+                           {"classes", std::move(classes)}});
+  }
+  double asked = 0;
+  Until(
+      [&] {
+        if (NowMs() - asked > kPoll) {
+          for (const auto& part : clients_) part->Tell({{"do", "count"}});
+          asked = NowMs();
+        }
+        return ready_proxies_ == expected;
+      },
+      "every proxy is ready");
+  began_ = NowMs();
+  Note("the load begins, " + std::to_string(processes_) + " processes");
+  for (const Happening& what : model_.happenings)
+    due_.push_back({began_ + what.at, [this, &what] { Happen(what); }});
+  for (const lab::TogetherFault& what : model_.together.faults)
+    due_.push_back({began_ + what.at, [this, &what] { Suffer(what); }});
+  for (const auto& part : clients_) part->Tell({{"do", "start"}});
+  while (NowMs() < began_ + model_.length) {
+    io_.restart();
+    io_.run_for(std::chrono::milliseconds(2));
+    std::vector<Due> now;
+    for (std::size_t i = 0; i < due_.size();) {
+      if (due_[i].at > NowMs()) {
+        ++i;
+        continue;
+      }
+      now.push_back(std::move(due_[i]));
+      due_.erase(due_.begin() + static_cast<std::ptrdiff_t>(i));
+    }
+    for (const Due& one : now) one.act();
+    for (Proxy& proxy : proxies_) {
+      if (proxy.down_since >= 0 || proxy.process->Running()) continue;
+      outcome_.troubles.push_back(proxy.name + " ended by itself");
+      proxy.down_since = NowMs();
+    }
+  }
+  Note("the load ends");
+  for (const auto& part : clients_) part->Tell({{"do", "stop"}});
+  const double settled = NowMs() + kSettle;
+  Until([&] { return NowMs() > settled; }, "what is open ends");
+  for (Proxy& proxy : proxies_) {
+    const double since = std::max(proxy.down_since, proxy.frozen_since);
+    if (since >= 0) history_.excuses.push_back({proxy.name, since, NowMs()});
+  }
+  Gather();
+  // Asked to stop, each proxy ends by itself.
+  for (Proxy& proxy : proxies_) {
+    if (proxy.down_since >= 0) continue;
+    proxy.process->Signal(SIGCONT);
+    proxy.process->Signal(SIGTERM);
+  }
+  Until(
+      [&] {
+        return std::none_of(proxies_.begin(), proxies_.end(), [](Proxy& p) { return p.process->Running(); });
+      },
+      "every proxy ends when asked to");
+  for (const Proxy& proxy : proxies_) {
+    if (proxy.down_since < 0 && proxy.process->status() != 0)
+      outcome_.troubles.push_back(proxy.name + " did not end with 0");
+  }
+  Rules rules;
+  for (const lab::ClassModel& c : model_.classes) {
+    rules.effects.push_back(static_cast<Effect>(static_cast<int>(c.rules.effect)));
+    rules.worths.push_back(c.rules.worth);
+    rules.aims.push_back(c.rules.aim.count());
+    rules.late_worths.push_back(c.rules.late_worth);
+  }
+  rules.drain_grace = model_.drain_grace.count();
+  rules.slack += 2 * model_.far.count();
+  for (const lab::TogetherFault& fault : model_.together.faults) {
+    if (fault.what == "delay") rules.slack += 2 * fault.value;
+  }
+  outcome_.verdict = Judge(rules, history_);
+  outcome_.processes = processes_;
+  return std::move(outcome_);
+}
+
+}  // namespace badgerbridge::together
--- /dev/null
+++ b/tests/together/trial.h
@@ -0,0 +1,108 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// A scenario on sockets: real proxies, and the world round them in processes of this program (roles.h), all
+// links between zones, clients and discovery through the relay. The scenario is the lab's, at the size that
+// the file says; its happenings mean here what they mean there, and [together] adds what only processes and
+// links can suffer.
+#ifndef BADGERBRIDGE_TESTS_TOGETHER_TRIAL_H_
+#define BADGERBRIDGE_TESTS_TOGETHER_TRIAL_H_
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lab/model.h"
+#include "lab/random.h"
+#include "together/child.h"
+#include "together/verdict.h"
+
+namespace badgerbridge::together {
+
+struct Outcome {
+  Verdict verdict;
+  std::size_t processes = 0;
+  std::vector<std::string>
+      timeline;  // what was done, and what processes said of it, with ms since the load began
+  std::vector<std::string> troubles;  // a part that ended or erred by itself, a process or file left over
+  double worth_share() const {
+    return verdict.worth_asked > 0 ? verdict.worth_served / verdict.worth_asked : 0;
+  }
+  bool holds() const { return verdict.holds() && troubles.empty(); }
+};
+
+class Trial {
+ public:
+  // `self` is the path of this program, `proxy` that of badgerbridge.
+  Trial(boost::asio::io_context& io, lab::Model model, std::uint64_t seed, std::string self,
+        std::string proxy);
+  ~Trial();
+
+  // Throws std::runtime_error if the installation does not come up.
+  Outcome Run();
+
+ private:
+  struct Converter {
+    std::string name, address;
+    int zone = 0, group = 0;
+    std::size_t place = 0;  // in its zone
+    std::string status = "Ready";
+    double since_ms = 0;
+    std::vector<std::string> relayed;  // by zone: where its proxies reach it
+  };
+  struct Proxy {
+    std::string name, listen, relayed, discovery;
+    int zone = 0;
+    std::unique_ptr<Child> process;
+    double down_since = -1, frozen_since = -1;
+    int lives = 0;
+  };
+  struct Due {
+    double at = 0;
+    std::function<void()> act;
+  };
+
+  void StartParts();
+  void OpenLinks();
+  void StartProxy(Proxy& proxy);
+  std::string Config(const Proxy& proxy) const;
+  void Happen(const lab::Happening& what);
+  void Suffer(const lab::TogetherFault& what);
+  void SetLinks();
+  void List(Converter& converter);
+  void Collect(const boost::json::object& line);
+  void Gather();
+  std::unique_ptr<Child> Part(const std::string& role, const std::string& name);
+  // Runs until it holds; throws, saying what was awaited, if it does not in time.
+  void Until(const std::function<bool()>& holds, const std::string& what, double most_ms = 20000);
+  void Note(std::string text);
+  std::string Host(int block, int number) const;
+
+  boost::asio::io_context& io_;
+  lab::Model model_;
+  std::uint64_t seed_;
+  std::string self_, program_, folder_;
+  lab::Random lags_;
+  std::vector<std::unique_ptr<Child>> zones_, clients_;  // converters and clients, by zone
+  std::unique_ptr<Child> wire_, discovery_, etcd_;
+  std::vector<Converter> converters_;
+  std::vector<Proxy> proxies_;
+  std::map<std::string, std::function<void(const boost::json::object&)>>
+      waiting_;  // by part: for its next answer
+  std::vector<std::string> opened_;
+  std::vector<Due> due_;
+  std::vector<bool> cut_in_, cut_out_;
+  std::map<std::string, lab::TogetherFault> link_faults_;
+  bool stale_ = false;
+  std::vector<std::function<void()>> held_back_;
+  double began_ = 0;
+  std::size_t ready_parts_ = 0, ended_parts_ = 0, processes_ = 0;
+  std::vector<std::size_t> ready_proxies_;  // as the clients of each zone see it
+  History history_;
+  Outcome outcome_;
+};
+
+}  // namespace badgerbridge::together
+
+#endif  // BADGERBRIDGE_TESTS_TOGETHER_TRIAL_H_
--- a/tests/together/verdict.cpp
+++ b/tests/together/verdict.cpp
@@ -25,7 +25,7 @@
     verdict_.fell = history_.fell.size();
     for (const std::string& converter : history_.fell) Line(converter + " was pushed over while cold");
     if (history_.wanted != history_.asked.size()) {
-      verdict_.unaccounted = history_.wanted > history_.asked.size()
+      verdict_.unaccounted += history_.wanted > history_.asked.size()
                                  ? history_.wanted - history_.asked.size()
                                  : history_.asked.size() - history_.wanted;
       Line(std::to_string(history_.wanted) + " requests were begun, and " +
--- /dev/null
+++ b/tests/together/verdict_test.cpp
@@ -0,0 +1,105 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Each rule that is broken is found, and what only looks like it is not.
+#include "together/verdict.h"
+
+#include <gtest/gtest.h>
+
+namespace badgerbridge::together {
+namespace {
+
+// Classes 0 safe, 1 keyed, 2 unsafe; one request of each, served.
+struct Case {
+  Rules rules{{Effect::kSafe, Effect::kKeyed, Effect::kUnsafe},
+              {1, 3, 5},
+              {500, 500, 500},
+              {0.5, 0.5, 0.5},
+              500,
+              100};
+  History history;
+  Case() {
+    Ask("r1", 0);
+    Ask("r2", 1);
+    Ask("r3", 2);
+    Ran("r1", "", "c1");
+    Ran("r2", "k2", "c1");
+    Ran("r3", "", "c2");
+    history.wanted = 3;
+  }
+  Asked& Ask(const std::string& id, std::size_t cls, Asked::End end = Asked::End::kServed,
+             double sent = 1000) {
+    history.asked.push_back({id, cls, "n1", sent, sent, sent + 20, end, false});
+    return history.asked.back();
+  }
+  void Ran(const std::string& id, const std::string& key, const std::string& converter, double at = 1005,
+           const std::string& group = "z0/0") {
+    history.came.push_back({id, key, converter, group, at, true});
+  }
+  Verdict Pass() const { return Judge(rules, history); }
+};
+
+TEST(TrialVerdict, WhatIsInOrderHolds) {
+  Case c;
+  c.Ran("r1", "", "c2");  // a safe one may run twice
+  const Verdict v = c.Pass();
+  EXPECT_TRUE(v.holds()) << (v.breaches.empty() ? "" : v.breaches[0]);
+  EXPECT_EQ(v.served, 3u);
+  EXPECT_EQ(v.worth_served, 9);
+}
+
+TEST(TrialVerdict, ALostRequestIsFoundUnlessItsProxyWasKilled) {
+  Case c;
+  c.history.asked[1].end = Asked::End::kLost;
+  EXPECT_EQ(c.Pass().lost, 1u);
+  c.history.excuses.push_back({"n2", 900, 2000});
+  EXPECT_EQ(c.Pass().lost, 1u);
+  c.history.excuses.push_back({"n1", 1010, 2000});
+  EXPECT_EQ(c.Pass().lost, 0u);
+  EXPECT_EQ(c.Pass().excused, 1u);
+}
+
+TEST(TrialVerdict, SecondEffectsAreFoundByIdAndByKey) {
+  Case c;
+  c.Ran("r3", "", "c1");
+  EXPECT_EQ(c.Pass().twice, 1u);
+  Case d;
+  d.Ran("r2", "k2", "c9", 1010, "z1/0");
+  EXPECT_EQ(d.Pass().twice, 1u);
+}
+
+TEST(TrialVerdict, ARefusalOfWhatRanIsFound) {
+  Case c;
+  c.history.asked[2].end = Asked::End::kRefused;
+  EXPECT_EQ(c.Pass().twice, 1u);
+}
+
+TEST(TrialVerdict, ALateSendIsFoundFromWhatThatProxyWasTold) {
+  Case c;
+  c.history.told = {{"n1", "c2", true, 0}, {"n1", "c2", false, 300}};
+  EXPECT_EQ(c.Pass().late_sends, 1u);
+  c.history.told[1].at = 500;  // 505 ms: within grace and slack
+  EXPECT_EQ(c.Pass().late_sends, 0u);
+  c.history.told[1].at = 300;
+  c.history.excuses.push_back({"n1", 200, 600});  // stopped: it read it at 600
+  EXPECT_EQ(c.Pass().late_sends, 0u);
+  c.history.excuses.clear();
+  c.history.told.push_back({"n1", "c2", true, 900});  // back since
+  EXPECT_EQ(c.Pass().late_sends, 0u);
+}
+
+TEST(TrialVerdict, AnswersFallsAndWhatIsUnaccountedForAreCounted) {
+  Case c;
+  c.history.asked[0].doubled = true;
+  c.history.fell.push_back("c1");
+  c.history.wanted = 4;
+  c.Ran("nobody", "", "c1");
+  const Verdict v = c.Pass();
+  EXPECT_EQ(v.doubled, 1u);
+  EXPECT_EQ(v.fell, 1u);
+  EXPECT_EQ(v.unaccounted, 2u);
+  EXPECT_FALSE(v.holds());
+  EXPECT_EQ(v.breaches.size(), 4u);
+}
+
+}  // namespace
+}  // namespace badgerbridge::together
--- a/tests/together/wire.cpp
+++ b/tests/together/wire.cpp
@@ -75,7 +75,7 @@
   port->acceptor.bind({host, 0});
   port->acceptor.listen(kBacklog);
   ports_.push_back(port);
-  asio::co_spawn(io_, Accept(port), asio::detached);
+  asio::co_spawn(io_, Accept(port, ++port->turn), asio::detached);
   return port->acceptor.local_endpoint();
 }
 
@@ -129,7 +129,8 @@
   for (int i = 0; i < kMostFillers; ++i) {
     tcp::socket filler(io_, tcp::v4());
     filler.non_blocking(true, ignored);
-    filler.connect(address, ignored);
+    // Not by the library's connect, which waits until it is up.
+    ::connect(filler.native_handle(), address.data(), static_cast<socklen_t>(address.size()));
     pollfd waiting{filler.native_handle(), POLLOUT, 0};
     if (poll(&waiting, 1, kFillerWait) <= 0) return;  // its SYN was dropped: the queue is full
     port.filled_from.insert(filler.local_endpoint(ignored));
@@ -141,15 +142,14 @@
   port->blocked = false;
   port->fillers.clear();
   ::listen(port->acceptor.native_handle(), kBacklog);
-  asio::co_spawn(io_, Accept(port), asio::detached);
+  asio::co_spawn(io_, Accept(port, ++port->turn), asio::detached);
 }
 
-asio::awaitable<void> Wire::Accept(std::shared_ptr<Port> port) {
+asio::awaitable<void> Wire::Accept(std::shared_ptr<Port> port, std::uint64_t turn) {
   const auto alive = alive_;
-  const std::uint64_t turn = ++port->turn;
   Error error;
   auto token = asio::redirect_error(asio::use_awaitable, error);
-  while (*alive && turn == port->turn) {
+  while (*alive && turn == port->turn) {  // it may begin after a cut that came at once
     tcp::endpoint from;
     tcp::socket socket = co_await port->acceptor.async_accept(from, token);
     if (!*alive || turn != port->turn) co_return;
--- a/tests/together/wire.h
+++ b/tests/together/wire.h
@@ -63,7 +63,7 @@
 
   template <typename Do>
   void Each(const std::string& from, const std::string& to, Do act);
-  boost::asio::awaitable<void> Accept(std::shared_ptr<Port> port);
+  boost::asio::awaitable<void> Accept(std::shared_ptr<Port> port, std::uint64_t turn);
   boost::asio::awaitable<void> Serve(std::shared_ptr<Session> session);
   boost::asio::awaitable<void> Pump(std::shared_ptr<Session> session, bool there);
   void Block(Port& port);
