--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -127,7 +127,7 @@
         most[third] = std::max(most[third], static_cast<double>(held)), sum += 1, ++looks;
     }
     EXPECT_EQ(reader.known(), static_cast<std::size_t>(kServers));
-    EXPECT_LE(exchange.Inspect().size(), kServers + 200u);  // a few minutes's worth of those that are gone
+    EXPECT_LE(exchange.Inspect().size(), kServers + 200u);  // a few minutes' worth of those that are gone
     EXPECT_LE(exchange.open(), 200u);
     std::uint64_t served = 0;
     for (const Tally& tally : exchange.tallies()) served += tally.served;
--- a/tests/together/verdict.cpp
+++ b/tests/together/verdict.cpp
@@ -26,8 +26,8 @@
     for (const std::string& converter : history_.fell) Line(converter + " was pushed over while cold");
     if (history_.wanted != history_.asked.size()) {
       verdict_.unaccounted += history_.wanted > history_.asked.size()
-                                 ? history_.wanted - history_.asked.size()
-                                 : history_.asked.size() - history_.wanted;
+                                  ? history_.wanted - history_.asked.size()
+                                  : history_.asked.size() - history_.wanted;
       Line(std::to_string(history_.wanted) + " requests were begun, and " +
            std::to_string(history_.asked.size()) + " accounted for");
     }
