Let a zone that returns step by time where nobody can speak of it

The step waits for the word that it is quick, and what was granted was too little for anybody to have one.

--- a/src/regions/decider.cpp
+++ b/src/regions/decider.cpp
@@ -301,8 +301,9 @@
         return enter(ZoneState::kLimping,
                      std::max(kTrial * zone.shown, kCut * std::min(zone.limit, seen.served)),
                      word("it was slow as it returned,"));
-      // Each relapse makes every step wait for longer.
-      if (now - zone.stepped < rules_.step * (1 + 2 * zone.relapses) || !quick) return;
+      // Each relapse makes every step wait for longer. Where so little is granted that nobody speaks of it,
+      // time alone.
+      if (now - zone.stepped < rules_.step * (1 + 2 * zone.relapses) || (seen.words > 0 && !quick)) return;
       zone.stepped = now;
       zone.limit *= kEarn;
       if (zone.limit < zone.shown) return;
