--- a/tests/regions/random_test.cpp
+++ b/tests/regions/random_test.cpp
@@ -178,8 +178,8 @@
         if (share == kFree) {
           home += one.demand;
         } else if (sound || one.member->in_touch(Clock(one))) {
-          // What one that has lost touch stands by with was kept for it while the zone was sound: that the zone has
-          // fallen since is news that can't reach it.
+          // What one that has lost touch stands by with was kept for it while the zone was sound: that the
+          // zone has fallen since is news that can't reach it.
           sum += share;
         }
       }
