--- a/src/regions/decider.cpp
+++ b/src/regions/decider.cpp
@@ -511,7 +511,7 @@
   const Matrix ceiling = Ceiling();
   Allocate(demand, ceiling, &next);
   if (snapshot.decision && !Worthwhile(now, before, next)) return std::nullopt;
-  // What was rounded is what counts.
+  // With the grants to be written, for a successor that knows no epoch before them.
   history_.push_back({next.epoch, next.grants, next.standby});
   next.ceiling = Ceiling();
   history_.pop_back();
--- a/tests/together/trial.h
+++ b/tests/together/trial.h
@@ -25,7 +25,7 @@
   std::size_t processes = 0;
   std::vector<std::string>
       timeline;  // what was done, and what processes said of it, with ms since the load began
-  std::vector<std::string> troubles;  // a part that ended or erred by itself, a process or file left over
+  std::vector<std::string> troubles;  // a part that erred, a proxy that ended by itself or not when asked to
   double worth_share() const {
     return verdict.worth_asked > 0 ? verdict.worth_served / verdict.worth_asked : 0;
   }
