--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -286,6 +286,7 @@
  public:
   Impl(Settings settings, std::uint64_t seed) : settings_(std::move(settings)), random_(seed) {
     classes_.resize(settings_.classes.size());
+    for (const ClassSettings& c : settings_.classes) most_worth_ = std::max(most_worth_, c.worth);
     tenant_tokens_.resize(settings_.tenants.size(), 1);
   }
 
@@ -412,19 +413,21 @@
   // Exception, where somebody decides how much goes to each zone (src/regions): a zone whose share is used up
   // is passed over. Each share is a bucket of a second's worth; what is worth least leaves most of it to
   // others.
-  bool FitsZone(const Server& s, const Request& r) {
-    if (s.entry.zone < 0 || static_cast<std::size_t>(s.entry.zone) >= zones_.size()) return true;
-    ZoneBucket& zone = zones_[static_cast<std::size_t>(s.entry.zone)];
-    if (zone.rate < 0) return true;
-    const double depth = zone.rate * kShareBurst.count();
+  ZoneBucket* BucketOf(const Server& s) {
+    const bool known = s.entry.zone >= 0 && static_cast<std::size_t>(s.entry.zone) < zones_.size();
+    return known ? &zones_[static_cast<std::size_t>(s.entry.zone)] : nullptr;
+  }
+  void Fill(ZoneBucket& zone) {
+    const double depth = std::max(0.0, zone.rate) * kShareBurst.count();
     zone.left = std::min(depth, zone.left + zone.rate * (now_ - zone.filled).count());
     zone.filled = now_;
-    return zone.left > kShareKept * depth * (1 - settings_.classes[r.cls].worth / MostWorth());
   }
-  double MostWorth() const {
-    double most = 1e-9;
-    for (const ClassSettings& c : settings_.classes) most = std::max(most, c.worth);
-    return most;
+  bool FitsZone(const Server& s, const Request& r) {
+    ZoneBucket* const zone = BucketOf(s);
+    if (!zone || zone->rate < 0) return true;
+    Fill(*zone);
+    const double kept = kShareKept * (1 - settings_.classes[r.cls].worth / most_worth_);
+    return zone->left > kept * zone->rate * kShareBurst.count();
   }
 
   struct Choice {
@@ -593,8 +596,7 @@
     ++s.counted;
     last_place_ = random_.Unit();
     s.own_work += r.work;
-    if (s.entry.zone >= 0 && static_cast<std::size_t>(s.entry.zone) < zones_.size())
-      zones_[static_cast<std::size_t>(s.entry.zone)].left -= r.work;
+    if (ZoneBucket* const zone = BucketOf(s)) zone->left -= r.work;
     ++s.own_count;
     s.sent.Add(now_, r.work);
     s.last_sent = now_;
@@ -745,10 +747,10 @@
   }
 
   // ---- 6. Admission -----------------------------------------------------------------------------------
-  // Of a proxy with few places, what waits at a server slower than most counts by how much slower it is,
-  // since it says little of the others. Of 300 proxies those in a zone that slowed down had their two places
-  // taken by it, sent next to nothing, and so learnt nothing new (scenarios/zone_slow.toml: 0.08 of the
-  // worth).
+  // Exception, for a proxy with few places: what waits at a server slower than most counts by how much slower
+  // it is, since it says little of the others. Of 300 proxies those in a zone that slowed down had their two
+  // places taken by it, sent next to nothing, and so learnt nothing new (scenarios/zone_slow.toml: 0.08 of
+  // the worth).
   double InFlight(double places) const {
     const double few = std::clamp((kManyPlaces - places) / (kManyPlaces - kFewPlaces), 0.0, 1.0);
     double count = in_flight_;
@@ -889,11 +891,15 @@
   }
 
   void On(const ZoneShares& e) {
-    zones_.resize(e.work_per_ms.size(), {-1, 0, now_});
+    zones_.resize(e.work_per_ms.size());
     for (std::size_t z = 0; z < zones_.size(); ++z) {
-      const double rate = std::isfinite(e.work_per_ms[z]) ? e.work_per_ms[z] : -1;
-      if (zones_[z].rate < 0) zones_[z].left = 0;  // it earns what it has from here on
-      zones_[z].rate = rate;
+      ZoneBucket& zone = zones_[z];
+      if (zone.rate < 0) {
+        zone.left = 0;  // it earns what it has from here on
+        zone.filled = now_;
+      }
+      Fill(zone);  // what was earned until now was by the old rate
+      zone.rate = std::isfinite(e.work_per_ms[z]) ? e.work_per_ms[z] : -1;
     }
     room_ = true;
   }
@@ -1103,6 +1109,7 @@
   std::deque<ServerId> gone_;           // in the order in which they went
   double arrived_ = 0, send_rate_ = 0;  // requests since the last sample; a ms
   std::vector<Server*> active_;    // those this proxy has dealt with lately; work per event is theirs alone
+  double most_worth_ = 1e-9;       // of the classes
   std::vector<ZoneBucket> zones_;  // empty: nobody decides how much goes where
   std::vector<Server*> outliers_;  // of these, slower than most; as of the last sample
   double usual_slowness_ = 1;
