Test that a trial can fail, refuses nonsense, and leaves no process when it is killed

Need: five plans that hold show nothing if a trial could not fail, and 'none outlives the trial' had not been made to happen.

--- /dev/null
+++ b/tests/together/trial_test.sh
@@ -0,0 +1,52 @@
+#!/bin/bash
+# SPDX-License-Identifier: Apache-2.0
+#
+# trial_test.sh BADGERTRIAL: a trial that does not hold says so, with its timeline and exit code 1; what is no plan gets a
+# line and 2; a trial that is killed leaves no process.
+set -euo pipefail
+trial=$1
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+export TMPDIR=$work
+passed=0
+expect() {
+  [ "$2" = "$3" ] || { echo "FAILED: $1: $2, not $3"; exit 1; }
+  passed=$((passed + 1))
+}
+# A zone is dead for the whole trial, and all of the worth is wanted.
+sed -e 's/^length = .*/length = "2s"/' -e '/^\[\[happening\]\]/,$d' "$(dirname "$0")/plans/zone_dies.toml" >"$work/all.toml"
+printf '[[happening]]\nat = "100ms"\nwhat = "stop"\n\n[together]\nleast_worth_percent = 100\n' >>"$work/all.toml"
+code=0
+"$trial" run "$work/all.toml" >"$work/out" 2>&1 || code=$?
+expect "not all of the worth" $code 1
+expect "its last line" "$(tail -1 "$work/out" | grep -c 'lost=0 .* BROKEN$')" 1
+expect "its timeline" "$(grep -c 'ms  stop' "$work/out")" 1
+expect "folders left" "$(find "$work" -maxdepth 1 -name 'badgertrial_*' | wc -l)" 0
+for command in "run $work/none.toml" "run" "fly" "role nobody"; do
+  code=0
+  # shellcheck disable=SC2086
+  "$trial" $command >"$work/out" 2>&1 </dev/null || code=$?
+  expect "$command" $code 2
+done
+# Killed in the middle: every process that it started ends.
+"$trial" run "$work/all.toml" >"$work/out" 2>&1 &
+pid=$!
+for _ in $(seq 200); do
+  children=$(cat "/proc/$pid/task/$pid/children" 2>/dev/null || true)
+  [ "$(echo "$children" | wc -w)" -ge 14 ] && break
+  sleep 0.05
+done
+expect "processes started" "$([ "$(echo "$children" | wc -w)" -ge 14 ] && echo yes)" yes
+kill -KILL $pid
+wait $pid 2>/dev/null || true
+left=1
+for _ in $(seq 200); do
+  left=0
+  for child in $children; do
+    kill -0 "$child" 2>/dev/null && left=$((left + 1))
+  done
+  [ $left = 0 ] && break
+  sleep 0.05
+done
+expect "processes left" $left 0
+echo "$passed passed, 0 failed"
