Drop what nothing uses in trials and regions; have the random test reach its bound

Found by reading the change again: orders that no trial gives its parts (etcd's lag, silence, backup and put, discovery down, slow for one class), a flag that nothing read, one draw written three times, sums of the soak that nothing looked at, and a random test that kept its worst ratio and asserted nothing of it: a bound that is never neared shows nothing.

--- a/src/regions/member.cpp
+++ b/src/regions/member.cpp
@@ -23,12 +23,14 @@
       random_(seed),
       backoff_(settings_.backoff) {}
 
+double Member::Unit() { return static_cast<double>(random_() >> 11) * 0x1.0p-53; }
+
 std::optional<Member::Call> Member::Next(TimePoint now) {
   if (began_ == TimePoint{}) {
     began_ = now;
     // A fleet that starts at once must not beat in step.
     next_beat_ = now;
-    wake_ = now + settings_.beat * (static_cast<double>(random_() >> 11) * 0x1.0p-53);
+    wake_ = now + settings_.beat * Unit();
   }
   if (out_ && now - sent_at_ < settings_.call_timeout * 2) return std::nullopt;
   if (out_) Failed(now, "a call was never answered");  // whoever carries it out has lost it
@@ -39,7 +41,7 @@
     return std::nullopt;
   }
   // A lease ends here before it ends there.
-  if (lease_ != 0 && now >= lease_until_) LoseLease(now, "the lease was not renewed in time");
+  if (lease_ != 0 && now >= lease_until_) LoseLease("the lease was not renewed in time");
   std::optional<Call> call;
   if (lease_ == 0) {
     call = Grant{settings_.ttl_s};
@@ -69,13 +71,13 @@
   trouble_ = std::move(why);
   out_.reset();
   proposal_.reset();
-  const double part = 0.5 + 0.5 * static_cast<double>(random_() >> 11) * 0x1.0p-53;
+  const double part = 0.5 + 0.5 * Unit();
   wake_ = now + backoff_ * part;
   backoff_ = std::min(settings_.most_backoff, backoff_ * 2);
 }
 
 // What it may do stands for as long as the decider waits for it (valid_until_), and no longer.
-void Member::LoseLease(TimePoint, const std::string& why) {
+void Member::LoseLease(const std::string& why) {
   trouble_ = why;
   lease_ = 0;
   decider_created_ = 0;
@@ -89,7 +91,7 @@
     Failed(now, "a call was not answered");
     if (reply.lease_gone) {
       created_ = 0;
-      LoseLease(now, "etcd does not know the lease any more");
+      LoseLease("etcd does not know the lease any more");
     }
     return;
   }
@@ -126,7 +128,6 @@
 }
 
 void Member::Read(TimePoint now, const Reply& reply) {
-  had_touch_ = true;
   const Kv* decider = nullptr;
   const Kv* record = nullptr;
   for (const Kv& kv : reply.kvs) {
@@ -143,8 +144,7 @@
     decider_created_ = decider->created;
     decides_.Begin(now);
   }
-  if (!decider && stand_at_ == TimePoint{})
-    stand_at_ = now + kStandWithin * (static_cast<double>(random_() >> 11) * 0x1.0p-53);
+  if (!decider && stand_at_ == TimePoint{}) stand_at_ = now + kStandWithin * Unit();
   if (decider) stand_at_ = TimePoint{};
   std::string why;
   if (record && record->modified != decision_modified_) {
--- a/src/regions/member.h
+++ b/src/regions/member.h
@@ -112,7 +112,8 @@
 
  private:
   void Failed(TimePoint now, std::string why);
-  void LoseLease(TimePoint now, const std::string& why);
+  double Unit();  // drawn from [0, 1)
+  void LoseLease(const std::string& why);
   void Read(TimePoint now, const Reply& reply);
   void Decide(TimePoint now, const Reply& reply);
   void DecideAlone(TimePoint now);
@@ -128,7 +129,6 @@
   std::int64_t lease_ = 0, created_ = 0;
   TimePoint renewed_{};                      // when the call that last renewed the lease was made
   TimePoint lease_until_{}, valid_until_{};  // by this member's clock: its lease; its grants
-  bool had_touch_ = false;
   std::optional<Decision> decision_;
   std::int64_t decision_modified_ = 0;
   std::string decider_;
--- a/tests/regions/random_test.cpp
+++ b/tests/regions/random_test.cpp
@@ -264,6 +264,8 @@
     }
     EXPECT_EQ(deciding, 1) << "seed " << seed;
     EXPECT_LE(*epochs.rbegin() - *epochs.begin(), 1u) << "seed " << seed;
+    // The bound was reached for: a sum that stays far below it would show nothing.
+    EXPECT_GT(fleet.worst, 0.9) << "seed " << seed;
     for (const Decision::Zone& zone : fleet.decisions.back().second.zones)
       EXPECT_EQ(zone.state, ZoneState::kSound) << zone.why;
   }
--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -76,8 +76,7 @@
   for (int i = 0; i < kServers; ++i) list(false, listed.emplace_back("s" + std::to_string(++names)));
   std::vector<double> most(3);
   for (std::size_t third = 0; third < 3; ++third) {
-    double next_change = now, sum = 0;
-    std::size_t looks = 0;
+    double next_change = now;
     for (const double end = now + kThird; now < end;) {
       now += 10;
       if (unit() < 0.5) {
@@ -123,8 +122,7 @@
         }
       }
       // Once the first minute has passed: what is gone is kept for so long.
-      if (now > 1e6 + 90000)
-        most[third] = std::max(most[third], static_cast<double>(held)), sum += 1, ++looks;
+      if (now > 1e6 + 90000) most[third] = std::max(most[third], static_cast<double>(held));
     }
     EXPECT_EQ(reader.known(), static_cast<std::size_t>(kServers));
     EXPECT_LE(exchange.Inspect().size(), kServers + 200u);  // a few minutes' worth of those that are gone
--- a/tests/together/converters.cpp
+++ b/tests/together/converters.cpp
@@ -76,11 +76,7 @@
     for (const json::value& number : which) {
       One& one = *all_.at(number.to_number<std::size_t>());
       if (what == "slow") {
-        if (order.if_contains("class")) {
-          slow_class_[std::string(order.at("class").as_string())] = value;
-        } else {
-          one.model.Slow(value);
-        }
+        one.model.Slow(value);
       } else if (what == "wrong") {
         one.model.Wrong(value);
       } else if (what == "pause") {
@@ -292,8 +288,7 @@
     if (at != std::string::npos &&
         std::from_chars(target.data() + at + 5, target.data() + target.size(), us).ec == std::errc())
       work = static_cast<double>(us) / 1000;
-    const auto slow = slow_class_.find(target.substr(1, target.find('?') - 1));
-    return slow == slow_class_.end() ? work : work * slow->second;
+    return work;
   }
 
   asio::io_context& io_;
@@ -307,7 +302,6 @@
   std::vector<Came> came_;
   std::unordered_map<lab::JobId, std::shared_ptr<Waiter>> waiters_;
   std::unordered_map<std::string, double> keys_;  // by group and key: when
-  std::map<std::string, double> slow_class_;
   lab::JobId jobs_ = 0;
   std::uint64_t malformed_ = 0;
 };
--- a/tests/together/roles.cpp
+++ b/tests/together/roles.cpp
@@ -201,8 +201,6 @@
         lists.at(proxy)->Set(entry);
       }
       told.push_back(json::array{proxy, entry.name, entry.status == "Ready", NowMs()});
-    } else if (what == "down" || what == "up") {
-      for (auto& [name, list] : lists) what == "down" ? list->Down() : list->Up();
     } else if (what == "end") {
       Orders::Say({{"told", told}});
       Orders::Say({{"ended", true}});
@@ -255,11 +253,9 @@
   asio::io_context io(1);
   Orders orders(io);
   std::unique_ptr<standins::Etcd> etcd;
-  std::unique_ptr<standins::EtcdStore> backup;
   int members = 0;
   orders.Follow([&](const json::object& order) {
     const std::string what = Text(order, "do");
-    const auto member = static_cast<std::size_t>(Number(order, "member"));
     if (what == "begin") {
       standins::EtcdSettings settings;
       settings.members = members = static_cast<int>(Number(order, "members", 3));
@@ -271,16 +267,6 @@
     } else if (what == "down" || what == "up") {
       for (int i = 0; i < members; ++i)
         what == "down" ? etcd->Down(static_cast<std::size_t>(i)) : etcd->Up(static_cast<std::size_t>(i));
-    } else if (what == "silence") {
-      etcd->Silence(member, Flag(order, "on"));
-    } else if (what == "lag") {
-      etcd->Lag(member, Flag(order, "on"));
-    } else if (what == "backup") {
-      backup = std::make_unique<standins::EtcdStore>(etcd->store());
-    } else if (what == "restore") {
-      if (backup) etcd->Restore(*backup, 0x5678);
-    } else if (what == "put") {
-      etcd->Put(Text(order, "key"), Text(order, "value"));
     } else if (what == "end") {
       Orders::Say({{"calls", etcd ? etcd->calls() : 0},
                    {"protocol_errors", etcd ? etcd->protocol_errors() : 0},
