Give each proxy of a trial its own address, and count what is safe as no double effect

Trial.many, "n9 ended by itself": the trial looked for a free port by binding and letting go, for three proxies of a zone on one address, and the kernel hands a port that was just let go to the next that asks: 39 of 20,000 trials of 14 proxies, measured with a probe of the same calls. The two then share a port; the second can't listen and ends with 1, and nobody noticed, since its neighbour answered the question whether it is ready. Ruled out: a crash (twelve runs with other work on all cores, none), a signal from another test (only trials and the scenarios ran then). Now each proxy has an address of its own, trials that run at once hold different blocks by a port, a proxy that ends before the load begins is told at once, and one that ends later with its status and last line.

NodeEtcdTest.ADrainThatIsWritten...: 12 of 42 runs failed with 14 at once, always by the converters' ledger alone (nothing lost, nothing more sent): it took a safe request that was repeated after a slow attempt for an effect that happened twice.

--- a/tests/membership/node_test.cpp
+++ b/tests/membership/node_test.cpp
@@ -177,7 +177,9 @@
   }
   clients.Stop();
   ASSERT_TRUE(Until([&] { return clients.Done(); }));
-  EXPECT_EQ(clients.account().lost + clients.account().doubled + ledger.doubled(), 0u);
+  EXPECT_EQ(clients.account().lost, 0u);
+  EXPECT_EQ(clients.account().doubled, 0u);
+  EXPECT_EQ(ledger.doubled(), 0u);
   EXPECT_EQ(etcd->protocol_errors(), 0u);
 }
 
--- a/tests/standins/converters.cpp
+++ b/tests/standins/converters.cpp
@@ -24,13 +24,14 @@
 }  // namespace
 
 bool Ledger::Begin(const Run& run) {
-  // An id without a key may run once anywhere; a key once in each group, and only in one of them.
+  // An id without a key may run once anywhere, unless it is safe; a key once in each group, and only in one
+  // of them.
   std::set<std::string>& groups = effects_[run.key.empty() ? run.id : "key " + run.key];
   if (!run.key.empty() && groups.count(run.group)) {
     ++dropped_;
     return false;
   }
-  if (!groups.empty()) ++doubled_;
+  if (!groups.empty()) ++(run.safe ? safe_repeats_ : doubled_);
   groups.insert(run.key.empty() ? run.converter + std::to_string(groups.size()) : run.group);
   if (!run.key.empty()) effects_[run.id].insert(run.group);
   runs_.push_back(run);
@@ -172,7 +173,8 @@
         if (!*alive || turn != turn_) co_return;
       }
       ++busy_;
-      ledger_.Begin({id, key, settings_.name, settings_.zone + "/" + settings_.group, Clock::now(), false});
+      ledger_.Begin({id, key, settings_.name, settings_.zone + "/" + settings_.group, Clock::now(),
+                     request.method() == http::verb::get, false});
       asio::steady_timer work(io_, Draw());
       co_await work.async_wait(token);
       if (!*alive) co_return;
--- a/tests/standins/converters.h
+++ b/tests/standins/converters.h
@@ -22,13 +22,13 @@
 namespace badgerbridge::standins {
 
 // What ran, at all converters together. A request with a key counts as run once for each group of converters:
-// they drop each other's repeats.
+// they drop each other's repeats. A safe one (GET) has no effect, and may run again.
 class Ledger {
  public:
   struct Run {
     std::string id, key, converter, group;
     std::chrono::steady_clock::time_point at;
-    bool finished = false;
+    bool safe = false, finished = false;
   };
 
   // Whether it takes effect; false: a repeat that the group drops.
@@ -39,6 +39,7 @@
   // Effects beyond the first, of one id or one key, at all converters.
   std::size_t doubled() const { return doubled_; }
   std::size_t repeats_dropped() const { return dropped_; }
+  std::size_t safe_repeats() const { return safe_repeats_; }
   std::size_t malformed = 0;  // requests that no proxy may send
   bool Ran(const std::string& id) const { return effects_.count(id) > 0; }
 
@@ -46,7 +47,7 @@
   std::vector<Run> runs_;
   std::map<std::string, std::set<std::string>>
       effects_;  // of an id or a key: the groups in which it took effect
-  std::size_t doubled_ = 0, dropped_ = 0;
+  std::size_t doubled_ = 0, dropped_ = 0, safe_repeats_ = 0;
 };
 
 struct ConverterSettings {
--- a/tests/together/trial.cpp
+++ b/tests/together/trial.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "together/trial.h"
 
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -27,6 +28,9 @@
 constexpr double kSettle = 1500;       // ms after the load's end, for what is open
 constexpr double kAfterRevive = 1500;  // ms until a proxy that was started again counts as running
 constexpr double kPoll = 50;
+constexpr int kBlocks = 250;
+constexpr int kFirstProxy =
+    10;  // the address of the first proxy in its zone's block; converters and links come before
 
 double UnixMs() {
   return std::chrono::duration<double, std::milli>(std::chrono::system_clock::now().time_since_epoch())
@@ -47,10 +51,12 @@
       lags_(seed, 1),
       cut_in_(static_cast<std::size_t>(model_.zones)),
       cut_out_(static_cast<std::size_t>(model_.zones)),
-      ready_proxies_(static_cast<std::size_t>(model_.zones)) {
+      ready_proxies_(static_cast<std::size_t>(model_.zones)),
+      held_block_(io) {
   std::string folder = (std::filesystem::temp_directory_path() / "badgertrial_XXXXXX").string();
   if (!mkdtemp(folder.data())) throw std::runtime_error("cannot make " + folder);
   folder_ = folder;
+  TakeBlock();
 }
 
 Trial::~Trial() {
@@ -64,10 +70,27 @@
   std::filesystem::remove_all(folder_, ignored);
 }
 
-// Each zone has an address block of its own; the process's number keeps two trials apart.
-std::string Trial::Host(int block, int number) const {
-  const int pid = getpid();
-  return "127." + std::to_string(80 + block % 40) + "." + std::to_string(pid % 250) + "." +
+// Trials that run at once take different blocks of loopback addresses: whoever holds a block's port has it.
+void Trial::TakeBlock() {
+  constexpr std::uint16_t kPort = 7979;
+  const int first = getpid() % kBlocks;
+  for (int i = 0; i < kBlocks; ++i) {
+    block_ = (first + i) % kBlocks;
+    const asio::ip::tcp::endpoint at(asio::ip::make_address_v4("127.79." + std::to_string(block_) + ".1"),
+                                     kPort);
+    boost::system::error_code taken;
+    held_block_.open(at.protocol());
+    held_block_.bind(at, taken);
+    if (!taken) held_block_.listen(1, taken);
+    if (!taken) return;
+    held_block_.close();
+  }
+  throw std::runtime_error("every block of loopback addresses is taken by another trial");
+}
+
+// Each zone has an address block of its own.
+std::string Trial::Host(int zone, int number) const {
+  return "127." + std::to_string(80 + zone % 40) + "." + std::to_string(block_) + "." +
          std::to_string(1 + number % 250);
 }
 
@@ -157,8 +180,10 @@
     proxy.name = "n" + std::to_string(i + 1);
     proxy.zone = i % model_.zones;
     names.push_back(json::value(proxy.name));
-    // Free a moment ago, on an address of this trial's own.
-    asio::ip::tcp::acceptor held(io_, {asio::ip::make_address_v4(Host(proxy.zone, 2)), 0});
+    // A port that was free a moment ago, on an address that nothing but this proxy uses: on a shared one the
+    // kernel gives a port that was just let go to the next that asks, once in 500 trials of three proxies a
+    // zone.
+    asio::ip::tcp::acceptor held(io_, {asio::ip::make_address_v4(Host(proxy.zone, kFirstProxy + i)), 0});
     proxy.listen = api::ToText(held.local_endpoint());
     proxies_.push_back(std::move(proxy));
   }
@@ -239,6 +264,17 @@
                                            {"drainGraceMs", model_.drain_grace.count()}}}}}});
 }
 
+// For people: by what a process ended, and the last that it said.
+std::string Trial::HowEnded(const Proxy& proxy) const {
+  const int status = proxy.process->status();
+  std::string how = WIFSIGNALED(status) ? "by signal " + std::to_string(WTERMSIG(status))
+                                        : "with " + std::to_string(WEXITSTATUS(status));
+  std::ifstream log(folder_ + "/" + proxy.name + ".log");
+  std::string last;
+  for (std::string line; std::getline(log, line);) last = line;
+  return how + (last.empty() ? ", and said nothing" : ": " + last);
+}
+
 void Trial::StartProxy(Proxy& proxy) {
   ++proxy.lives;
   ++processes_;
@@ -515,6 +551,10 @@
           for (const auto& part : clients_) part->Tell({{"do", "count"}});
           asked = NowMs();
         }
+        for (Proxy& proxy : proxies_) {
+          if (!proxy.process->Running())
+            throw std::runtime_error(proxy.name + " ended at its start, " + HowEnded(proxy));
+        }
         return ready_proxies_ == expected;
       },
       "every proxy is ready");
@@ -540,7 +580,7 @@
     for (const Due& one : now) one.act();
     for (Proxy& proxy : proxies_) {
       if (proxy.down_since >= 0 || proxy.process->Running()) continue;
-      outcome_.troubles.push_back(proxy.name + " ended by itself");
+      outcome_.troubles.push_back(proxy.name + " ended by itself, " + HowEnded(proxy));
       proxy.down_since = NowMs();
     }
   }
@@ -566,7 +606,7 @@
       "every proxy ends when asked to");
   for (const Proxy& proxy : proxies_) {
     if (proxy.down_since < 0 && proxy.process->status() != 0)
-      outcome_.troubles.push_back(proxy.name + " did not end with 0");
+      outcome_.troubles.push_back(proxy.name + " did not end with 0, " + HowEnded(proxy));
   }
   Rules rules;
   for (const lab::ClassModel& c : model_.classes) {
--- a/tests/together/trial.h
+++ b/tests/together/trial.h
@@ -8,6 +8,7 @@
 #define BADGERBRIDGE_TESTS_TOGETHER_TRIAL_H_
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <map>
 #include <memory>
 #include <string>
@@ -66,6 +67,7 @@
   void StartParts();
   void OpenLinks();
   void StartProxy(Proxy& proxy);
+  std::string HowEnded(const Proxy& proxy) const;
   std::string Config(const Proxy& proxy) const;
   void Happen(const lab::Happening& what);
   void Suffer(const lab::TogetherFault& what);
@@ -77,7 +79,8 @@
   // Runs until it holds; throws, saying what was awaited, if it does not in time.
   void Until(const std::function<bool()>& holds, const std::string& what, double most_ms = 20000);
   void Note(std::string text);
-  std::string Host(int block, int number) const;
+  void TakeBlock();
+  std::string Host(int zone, int number) const;
 
   boost::asio::io_context& io_;
   lab::Model model_;
@@ -101,6 +104,8 @@
   std::vector<std::size_t> ready_proxies_;  // as the clients of each zone see it
   History history_;
   Outcome outcome_;
+  boost::asio::ip::tcp::acceptor held_block_;
+  int block_ = 0;
 };
 
 }  // namespace badgerbridge::together
