--- a/src/regions/decider.cpp
+++ b/src/regions/decider.cpp
@@ -14,6 +14,8 @@
 constexpr double kFailsNot = 0.1;  // and one that does not
 constexpr double kSlow = 3;        // times what members are used to
 constexpr double kNotSlow = 1.7;
+constexpr double kFewWarm = 0.5;     // converters' worth, below which what one can do is not learnt
+constexpr double kEmpty = 0.05;      // of the converters' worth that a zone had
 constexpr double kMostCold = 10;     // times that a cold zone may be slower by nature
 constexpr double kFellShort = 0.75;  // of what it has shown: slow at less is no crowd, but a fault
 constexpr double kCrowded = 0.6;     // of the aim
@@ -21,7 +23,7 @@
 constexpr double kCut = 0.8, kGrow = 1.2, kEarn = 1.5;
 constexpr double kTrial = 0.02;      // of what it has shown, for a zone that fails
 constexpr double kFirstStep = 0.08;  // of a zone that returns
-constexpr double kShare = 0.97;      // of what its converters say that they can do
+constexpr double kShare = 1;         // of what its converters say that they can do
 constexpr double kBeyond = 1.25;     // of the most that it has done, where they say nothing
 constexpr double kFewUsed = 0.15;    // below, how busy they are tells little of what they can do
 constexpr double kShownGain = 0.15;
@@ -235,8 +237,7 @@
     if (timed[r] > 0) seen[r].slow = slow[r] / timed[r], seen[r].latency = latency[r] / timed[r];
     if (told[r] > 0) seen[r].used = used[r] / told[r];
     // Converters that have just started are slow by nature.
-    if (cases_[r].of_warm > 0 && seen[r].warm > 0)
-      seen[r].cold = std::clamp(cases_[r].of_warm / seen[r].warm, 1.0, kMostCold);
+    if (seen[r].warm > 0) seen[r].cold = std::clamp(cases_[r].most_warm / seen[r].warm, 1.0, kMostCold);
     std::string who;
     for (std::size_t o = 0; o < n; ++o) {
       Pair& pair = now[o][r];
@@ -272,6 +273,9 @@
 
 void Decider::Learn(TimePoint now, Case* zone, const Seen& seen) const {
   const double elapsed = looked_at_ == TimePoint{} ? 0 : (now - looked_at_).count();
+  // Converters that leave take with them what they have shown; those that come, as the rules say how warm
+  // they are, count like the others.
+  if (zone->each > 0) zone->shown = zone->each * seen.warm;
   zone->of_warm = std::max(seen.warm, 1e-9);
   if (seen.used >= 0 && seen.attempts >= kEnough) {
     // What the deaf send keeps the zone busy too, and is in nobody's word. Where little is used, chance is
@@ -286,6 +290,7 @@
   } else {
     zone->shown = std::max(zone->shown, seen.served);
   }
+  if (seen.warm >= kFewWarm) zone->each = zone->shown / seen.warm;
   zone->limit = seen.used >= 0 ? std::max(kShare * zone->shown, seen.served) : kBeyond * zone->shown;
 }
 
@@ -314,6 +319,14 @@
     zone.stepped = now;
     zone.why = std::move(why);
   };
+  // Its converters have left the list, and what is said of them with them: those that come are new.
+  zone.most_warm = std::max(zone.most_warm * std::exp2(-elapsed / kShownMemory.count()), seen.warm);
+  if (zone.state != ZoneState::kEvacuated && zone.each > 0 && seen.warm < kEmpty * zone.most_warm) {
+    zone.state = ZoneState::kSound;
+    zone.why = "its converters have left the list";
+    zone.well = false;
+    return Learn(now, &zone, seen);
+  }
   const bool may_step = now - zone.stepped >= rules_.step;
   const auto word = [&](const char* what) {
     return std::string(what) + " by the word of members in " + (seen.who.empty() ? "none" : seen.who);
@@ -399,6 +412,7 @@
                        Decision* next) {
   const std::size_t n = rules_.zones;
   std::vector<double> room(n), want(n), home(n);
+  std::vector<double> home_most(n);  // while some of its members may still send home as they like
   std::vector<bool> free(n);
   // Those that lost touch may go by their standby: of one zone's members, since standby is for the loss of
   // one.
@@ -420,6 +434,7 @@
     const double able = std::min(zone.limit, std::max(Able(zone) * kBeyond, 0.0));
     const double limit = pairs_[z][z].shut ? kPairTrial * able : able;
     home[z] = std::min(kMargin * demand[z], limit);
+    home_most[z] = std::min(kMargin * demand[z], able);
     wanted.at(z, z) = free[z] ? kFree : home[z];
     room[z] = zone.state == ZoneState::kSound ? std::max(0.0, able - home[z] - kept[z]) : 0;
     want[z] = std::max(0.0, kMargin * demand[z] - home[z]);
@@ -452,7 +467,7 @@
     most[r] = std::max(0.0, std::min(cases_[r].limit, kBeyond * Able(cases_[r])) -
                                 (cases_[r].state == ZoneState::kSound ? kept[r] : 0));
   next->standby = std::move(standby);
-  return Grow(wanted, home, most, holders, next);
+  return Grow(wanted, home_most, most, holders, next);
 }
 
 // Of what is wanted, as much as fits under `most` for each receiver, in two ways: once all that are there go
@@ -600,6 +615,7 @@
     if (zone.state != ZoneState::kSound || zone.shown >= like * zone.warm) continue;
     zone.shown = like * zone.warm;
     zone.of_warm = zone.warm;
+    zone.each = like;
     zone.limit = std::max(zone.limit, zone.shown);
   }
 }
--- a/src/regions/decider.h
+++ b/src/regions/decider.h
@@ -78,6 +78,8 @@
   struct Case {  // a zone's
     ZoneState state = ZoneState::kSound;
     double shown = 0, limit = 0;
+    double each = 0;               // of it, by one warm converter's worth; 0: not known
+    double most_warm = 0;          // warm converters' worth that it had lately
     double of_warm = 0, warm = 0;  // warm converters' worth that showed it; that is there now
     double asked = 0;              // of its members, when all of them were last there
     double relapses = 0;           // halved by kRelapseMemory
