--- a/src/ctl/completion.cpp
+++ b/src/ctl/completion.cpp
@@ -10,19 +10,20 @@
   local cur="${COMP_WORDS[COMP_CWORD]}" command="" word
   for word in "${COMP_WORDS[@]:1:COMP_CWORD-1}"; do
     case "$word" in
-      status|get|start|stop|drain|undrain|reload|roll|apply|diff|orders|logs|watch|members|check|completion)
+      status|get|start|stop|drain|undrain|reload|roll|apply|diff|orders|logs|watch|members|zones|check|completion)
         command="$word"; break ;;
     esac
   done
   if [[ "$cur" == -* ]]; then
     COMPREPLY=($(compgen -W "--context --socket --output --timeout --help --label --agent --state --all --deadline
       --force-after --supersede --against --dry-run --no-wait --at-most --id --as --lines --every --count --operator
-      --etcd --address --zone --kind --group --weight --since --ttl --drain-for" -- "$cur"))
+      --etcd --address --zone --kind --group --weight --since --ttl --drain-for --for --force" -- "$cur"))
     return
   fi
   case "$command" in
     "") COMPREPLY=($(compgen -W "status get start stop drain undrain reload roll apply diff orders logs watch members
-          check completion" -- "$cur")) ;;
+          zones check completion" -- "$cur")) ;;
+    zones) COMPREPLY=($(compgen -W "evacuate return history" -- "$cur")) ;;
     apply|diff|check) COMPREPLY=($(compgen -f -- "$cur")) ;;
     completion) COMPREPLY=($(compgen -W "bash" -- "$cur")) ;;
     *) COMPREPLY=($(compgen -W "$(badgerctl status -o names --timeout 1s 2>/dev/null)" -- "$cur")) ;;
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -11,6 +11,7 @@
 #include "ctl/commands.h"
 #ifdef BADGERBRIDGE_HAS_ETCD
 #include "ctl/etcd_commands.h"
+#include "ctl/zones.h"
 #endif
 #include "api/address.h"
 #include "api/version.h"
@@ -53,6 +54,8 @@
   std::string address, zone, kind, ttl = "10s", drain_for = "2s";
   int group = 0;
   double weight = 1, since_ms = 0;
+  std::string lasts;
+  bool force = false;
   ctl::Selection selection;
   ctl::OrderOptions options;
   int lines = 50, count = 0;
@@ -149,7 +152,53 @@
   settings.drain_for = *drain_for;
   return ctl::RegisterMember(how, settings, std::cerr);
 }
+// zones and its commands; `command` is empty for the table.
+int RunZones(const std::string& command, Arguments& a) {
+  ctl::ZonesCommand how;
+  if (a.operators.empty()) {
+    if (const char* named = std::getenv("BADGERBRIDGE_OPERATOR")) a.operators = named;
+  }
+  if (a.operators.empty()) {
+    std::cerr << "badgerctl: say where the [regions] table is: --operator FILE, or BADGERBRIDGE_OPERATOR\n";
+    return ctl::kUsage;
+  }
+  operator_file::Problems problems;
+  const auto file = operator_file::Load(a.operators, problems);
+  if (problems.empty() && !file.regions) problems.push_back({a.operators, 0, 0, "has no [regions] table"});
+  if (problems.empty() && !file.regions->together)
+    problems.push_back(
+        {a.operators, 0, 0, "has each proxy decide alone: there is nothing in common to show"});
+  std::cerr << operator_file::Lines(problems);
+  if (!problems.empty()) return ctl::kUsage;
+  how.regions = *file.regions;
+  how.json = a.output == "json";
+  how.dry_run = a.options.dry_run;
+  how.force = a.force;
+  how.who = a.options.as.empty() ? "uid " + std::to_string(getuid()) : a.options.as;
+  if (!a.timeout.empty()) {
+    const auto timeout = Parse(a.timeout, "--timeout");
+    if (!timeout) return ctl::kUsage;
+    how.timeout = std::max(*timeout, milliseconds(1));
+  }
+  if (command == "evacuate") {
+    const auto lasts = Parse(a.lasts, "--for");
+    if (!lasts) return ctl::kUsage;
+    if (*lasts < milliseconds(1000) || *lasts > milliseconds(7 * 24 * 3600 * 1000LL)) {
+      std::cerr << "badgerctl: --for " << a.lasts << " is not from 1s to 168h\n";
+      return ctl::kUsage;
+    }
+    return ctl::Evacuate(how, a.zone, std::chrono::duration_cast<std::chrono::seconds>(*lasts), std::cout,
+                         std::cerr);
+  }
+  if (command == "return") return ctl::ReturnZone(how, a.zone, std::cout, std::cerr);
+  if (command == "history") return ctl::ZonesHistory(how, a.lines, std::cout, std::cerr);
+  return ctl::ShowZones(how, std::cout, std::cerr);
+}
 #else
+int RunZones(const std::string&, Arguments&) {
+  std::cerr << "badgerctl: this build is without etcd; build with -DBADGERBRIDGE_ETCD=ON\n";
+  return ctl::kUsage;
+}
 int RunEtcd(const std::string&, Arguments&) {
   std::cerr << "badgerctl: this build is without etcd; build with -DBADGERBRIDGE_ETCD=ON\n";
   return ctl::kUsage;
@@ -163,6 +212,9 @@
   if (command == "members" && !chosen->get_subcommands().empty())
     members = chosen->get_subcommands().front()->get_name();
   if (!members.empty() && members != "release") return RunEtcd(members, a);
+  if (command == "zones")
+    return RunZones(chosen->get_subcommands().empty() ? "" : chosen->get_subcommands().front()->get_name(),
+                    a);
   if (command == "check") return Check(a.file);
   if (command == "completion") {
     std::cout << ctl::kBashCompletion;
@@ -301,6 +353,25 @@
   member->add_option("--drain-for", a.drain_for, "at the end: how long it says that it drains (2s)");
   AddSelection(members->add_subcommand("release", "departures that proxies hold back have really happened"),
                a);
+  auto* zones = app.add_subcommand("zones", "how much goes to each zone, as all proxies have decided");
+  const auto with_file = [&](CLI::App* sub) {
+    sub->add_option("--operator", a.operators,
+                    "the operator's file with the [regions] table (BADGERBRIDGE_OPERATOR)");
+    return sub;
+  };
+  with_file(zones);
+  auto* evacuate = with_file(zones->add_subcommand("evacuate", "have all proxies leave a zone, for a while"));
+  evacuate->add_option("zone", a.zone, "its name")->required();
+  evacuate->add_option("--for", a.lasts, "how long the order lasts, such as 30m or 2h")->required();
+  evacuate->add_flag("--dry-run", a.options.dry_run, "say what each receiver would carry, and order nothing");
+  evacuate->add_flag("--force", a.force, "also where the others have no room for all of it");
+  evacuate->add_option("--as", a.options.as, "who you are, for the others");
+  with_file(zones->add_subcommand("return", "end the order for a zone"))
+      ->add_option("zone", a.zone, "its name")
+      ->required();
+  with_file(zones->add_subcommand("history", "the last decisions"))
+      ->add_option("--lines", a.lines, "how many (50)")
+      ->check(CLI::Range(1, 1000));
   app.add_subcommand("check", "check an operator's, fleet or context file, and start nothing")
       ->add_option("file", a.file, "the file")
       ->required();
--- /dev/null
+++ b/src/ctl/zones.cpp
@@ -0,0 +1,372 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "ctl/zones.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/json.hpp>
+#include <cmath>
+#include <cstdio>
+#include <functional>
+#include <ostream>
+#include <random>
+
+#include "ctl/commands.h"
+#include "ctl/render.h"
+#include "etcd.pb.h"
+#include "etcd/client.h"
+#include "membership/etcd_settings.h"
+#include "regions/evacuation.h"
+
+namespace badgerbridge::ctl {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+namespace pb = etcdserverpb;
+using regions::Decision;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kUsual{5000};
+constexpr double kUsualAim = 500;  // ms; the tool does not know the classes
+constexpr std::size_t kMostWho = 100;
+
+std::string Number(double x) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.2f", x);
+  return text;
+}
+
+struct Failure {
+  int code = kAllDid;
+  std::string text;
+};
+
+Failure Of(const etcd::Status& status) {
+  const bool denied =
+      status.code == etcd::Code::kUnauthenticated || status.code == etcd::Code::kPermissionDenied;
+  return {denied ? kNotAllowed : status.Retriable() ? kOutOfReach : kSomeDidNot, "etcd: " + status.Text()};
+}
+
+// All that the proxies hold in common, as of one revision.
+struct Common {
+  std::int64_t revision = 0, decided_at = 0;  // revisions
+  std::optional<Decision> decision;
+  std::string decider;
+  std::size_t members = 0;
+  std::vector<std::string> orders;  // by zone: by whom; empty: none
+};
+
+std::string KeyOf(const ZonesCommand& command, const std::string& rest) {
+  return command.regions.prefix + rest;
+}
+
+asio::awaitable<Failure> Read(etcd::Client& client, const ZonesCommand& command, milliseconds timeout,
+                              Common* common) {
+  pb::RangeRequest range;
+  range.set_key(command.regions.prefix);
+  std::string end = command.regions.prefix;
+  end.back() = static_cast<char>(end.back() + 1);
+  range.set_range_end(end);
+  pb::RangeResponse found;
+  const etcd::Status status = co_await client.Call("/etcdserverpb.KV/Range", range, &found, timeout);
+  if (!status.ok()) co_return Of(status);
+  const std::size_t zones = command.regions.zones.size();
+  common->revision = found.header().revision();
+  common->orders.resize(zones);
+  for (const pb::KeyValue& kv : found.kvs()) {
+    const std::string key = kv.key().substr(command.regions.prefix.size());
+    std::string why;
+    if (key == "decision") {
+      common->decision = regions::DecodeDecision(kv.value(), zones, &why);
+      common->decided_at = kv.mod_revision();
+      if (!common->decision) co_return Failure{kSomeDidNot, "the decision can't be read: " + why};
+    } else if (key == "decider") {
+      common->decider = kv.value();
+    } else if (key.rfind("members/", 0) == 0) {
+      ++common->members;
+    }
+    for (std::size_t z = 0; z < zones; ++z) {
+      if (key == "orders/" + std::to_string(z))
+        common->orders[z] = kv.value().empty() ? "nobody" : kv.value();
+    }
+  }
+  co_return Failure{};
+}
+
+// Runs one conversation with etcd; its failure is said.
+int Converse(const ZonesCommand& command, std::ostream& err,
+             const std::function<asio::awaitable<Failure>(etcd::Client&, milliseconds)>& talk) {
+  Failure failure{kSomeDidNot, "the call could not be made"};
+  try {
+    asio::io_context io(1);
+    std::random_device random;
+    etcd::Client client(io, membership::ClientSettingsOf(command.regions), random());
+    asio::co_spawn(io, talk(client, command.timeout > milliseconds(0) ? command.timeout : kUsual),
+                   [&](std::exception_ptr bad, Failure answer) {
+                     if (!bad) failure = std::move(answer);
+                     io.stop();
+                   });
+    io.run();
+  } catch (const std::exception& bad) {
+    failure = {kUsage, bad.what()};
+  }
+  if (!failure.text.empty()) err << "badgerctl: " << failure.text << '\n';
+  return failure.code;
+}
+
+std::optional<std::size_t> ZoneOf(const ZonesCommand& command, const std::string& name, std::ostream& err) {
+  const auto& zones = command.regions.zones;
+  const auto found = std::find(zones.begin(), zones.end(), name);
+  if (found != zones.end()) return static_cast<std::size_t>(found - zones.begin());
+  err << "badgerctl: there is no zone " << name << "; [regions] names";
+  for (const std::string& zone : zones) err << ' ' << zone;
+  err << '\n';
+  return std::nullopt;
+}
+
+// What comes in from others, of what is granted: at most.
+double Spill(const Decision& d, std::size_t zone) {
+  double sum = 0;
+  for (std::size_t o = 0; o < d.zones.size(); ++o) {
+    if (o != zone) sum += std::max(0.0, d.grants.at(o, zone));
+  }
+  return sum;
+}
+
+regions::Evacuation PlanOf(const ZonesCommand& command, const Decision& decision, std::size_t zone) {
+  const std::size_t n = command.regions.zones.size();
+  regions::Matrix round_trip(n, static_cast<double>(command.regions.round_trip.count()));
+  regions::Matrix price(n, command.regions.price_percent / 100.0);
+  const auto index = [&](const std::string& name) {
+    return static_cast<std::size_t>(
+        std::find(command.regions.zones.begin(), command.regions.zones.end(), name) -
+        command.regions.zones.begin());
+  };
+  for (const auto& link : command.regions.links) {
+    const std::size_t a = index(link.from), b = index(link.to);
+    if (a >= n || b >= n) continue;
+    round_trip.at(a, b) = round_trip.at(b, a) = static_cast<double>(link.round_trip.count());
+    price.at(a, b) = price.at(b, a) = link.price_percent / 100.0;
+  }
+  return regions::PlanEvacuation(decision, round_trip, price, kUsualAim, zone);
+}
+
+}  // namespace
+
+int ShowZones(const ZonesCommand& command, std::ostream& out, std::ostream& err) {
+  Common common;
+  const int code = Converse(command, err, [&](etcd::Client& client, milliseconds timeout) {
+    return Read(client, command, timeout, &common);
+  });
+  if (code != kAllDid) return code;
+  if (!common.decision) {
+    err << "badgerctl: no proxy has decided anything yet; " << common.members
+        << " take part. Does their operator's file have a [regions] table?\n";
+    return kSomeDidNot;
+  }
+  const Decision& d = *common.decision;
+  Table table({"ZONE", "STATE", "CARRIED", "COULD CARRY", "ASKED", "FROM OTHERS", "MEMBERS", "WHY"},
+              command.color);
+  json::array zones;
+  for (std::size_t z = 0; z < d.zones.size(); ++z) {
+    const Decision::Zone& one = d.zones[z];
+    const std::string why = common.orders[z].empty() ? one.why : "ordered by " + common.orders[z];
+    const std::string members =
+        std::to_string(one.members) + (one.lost > 0 ? " and " + std::to_string(one.lost) + " lost" : "");
+    table.Add({command.regions.zones[z], std::string(regions::Name(one.state)), Number(one.carried),
+               Number(one.limit), Number(one.demand), Number(Spill(d, z)), members, why});
+    zones.push_back(json::object{{"zone", command.regions.zones[z]},
+                                 {"state", regions::Name(one.state)},
+                                 {"carried", one.carried},
+                                 {"limit", one.limit},
+                                 {"shown", one.shown},
+                                 {"demand", one.demand},
+                                 {"from_others", Spill(d, z)},
+                                 {"members", one.members},
+                                 {"lost", one.lost},
+                                 {"order", common.orders[z]},
+                                 {"why", one.why}});
+  }
+  if (command.json) {
+    out << json::serialize(json::object{{"epoch", d.epoch},
+                                        {"revision", common.decided_at},
+                                        {"decided_by", d.decider},
+                                        {"decider", common.decider},
+                                        {"members", common.members},
+                                        {"zones", std::move(zones)}})
+        << '\n';
+    return kAllDid;
+  }
+  out << table.Text() << "epoch " << d.epoch << ", decided by " << d.decider << "; "
+      << (common.decider.empty() ? "nobody decides now" : common.decider + " decides now") << "; "
+      << common.members << " proxies take part; work in standard cores\n";
+  return kAllDid;
+}
+
+int Evacuate(const ZonesCommand& command, const std::string& name, std::chrono::seconds lasts,
+             std::ostream& out, std::ostream& err) {
+  const auto zone = ZoneOf(command, name, err);
+  if (!zone) return kUsage;
+  Common common;
+  std::int64_t written = 0;
+  bool done = false, no_room = false;
+  regions::Evacuation plan;
+  const auto talk = [&](etcd::Client& client, milliseconds timeout) -> asio::awaitable<Failure> {
+    Failure failure = co_await Read(client, command, timeout, &common);
+    if (failure.code != kAllDid) co_return failure;
+    if (!common.decision)
+      co_return Failure{kSomeDidNot, "no proxy has decided anything yet, so nobody would follow the order"};
+    plan = PlanOf(command, *common.decision, *zone);
+    no_room = plan.unplaced > 1e-9;
+    if (!common.orders[*zone].empty())
+      co_return Failure{kConflict, "there is an order for " + name + " already, by " + common.orders[*zone] +
+                                       "; badgerctl zones return " + name + " ends it"};
+    if (command.dry_run || (no_room && !command.force)) co_return Failure{};
+    pb::LeaseGrantRequest grant;
+    grant.set_ttl(lasts.count());
+    pb::LeaseGrantResponse lease;
+    etcd::Status status = co_await client.Call("/etcdserverpb.Lease/LeaseGrant", grant, &lease, timeout);
+    if (!status.ok()) co_return Of(status);
+    pb::TxnRequest txn;
+    pb::Compare* compare = txn.add_compare();
+    compare->set_key(KeyOf(command, "orders/" + std::to_string(*zone)));
+    compare->set_result(pb::Compare::EQUAL);
+    compare->set_target(pb::Compare::CREATE);
+    compare->set_create_revision(0);
+    pb::PutRequest* put = txn.add_success()->mutable_request_put();
+    put->set_key(compare->key());
+    put->set_value(command.who.substr(0, kMostWho));
+    put->set_lease(lease.id());
+    // Its second run, after an answer that was lost, finds its first: what is there says whose it is.
+    txn.add_failure()->mutable_request_range()->set_key(compare->key());
+    pb::TxnResponse answer;
+    status = co_await client.Call("/etcdserverpb.KV/Txn", txn, &answer, timeout);
+    if (!status.ok()) co_return Of(status);
+    written = answer.header().revision();
+    done = answer.succeeded() ||
+           (answer.responses_size() > 0 && answer.responses(0).response_range().kvs_size() > 0 &&
+            answer.responses(0).response_range().kvs(0).lease() == lease.id());
+    if (done) co_return Failure{};
+    pb::LeaseRevokeRequest revoke;
+    revoke.set_id(lease.id());
+    pb::LeaseRevokeResponse revoked;
+    co_await client.Call("/etcdserverpb.Lease/LeaseRevoke", revoke, &revoked, timeout);
+    co_return Failure{kConflict, "somebody else has just given an order for " + name};
+  };
+  const int code = Converse(command, err, talk);
+  if (code != kAllDid) return code;
+  Table table({"ZONE", "CARRIES", "WOULD CARRY", "COULD CARRY"}, command.color);
+  json::array receivers;
+  for (const auto& one : plan.receivers) {
+    const std::string& receiver = command.regions.zones[one.zone];
+    table.Add({receiver, Number(one.carries), Number(one.would), Number(one.limit)});
+    receivers.push_back(json::object{
+        {"zone", receiver}, {"carries", one.carries}, {"would", one.would}, {"limit", one.limit}});
+  }
+  const std::string result = done ? "ordered" : command.dry_run ? "dry run" : "refused";
+  if (command.json) {
+    out << json::serialize(json::object{{"zone", name},
+                                        {"result", result},
+                                        {"moved", plan.moved},
+                                        {"unplaced", plan.unplaced},
+                                        {"revision", written},
+                                        {"receivers", std::move(receivers)}})
+        << '\n';
+  } else {
+    out << name << " carries " << Number(plan.moved) << '\n';
+    if (!table.empty()) out << table.Text();
+    if (no_room) out << "no room for " << Number(plan.unplaced) << " of it\n";
+    if (done)
+      out << "ordered at revision " << written << "; ends by itself after " << lasts.count() << " s\n";
+  }
+  if (done || (command.dry_run && !no_room)) return kAllDid;
+  if (!command.dry_run)
+    err << "badgerctl: the others have no room for all of it; --force orders it all the same\n";
+  return kSomeDidNot;
+}
+
+int ReturnZone(const ZonesCommand& command, const std::string& name, std::ostream& out, std::ostream& err) {
+  const auto zone = ZoneOf(command, name, err);
+  if (!zone) return kUsage;
+  std::int64_t deleted = 0;
+  const int code =
+      Converse(command, err, [&](etcd::Client& client, milliseconds timeout) -> asio::awaitable<Failure> {
+        pb::DeleteRangeRequest request;
+        request.set_key(KeyOf(command, "orders/" + std::to_string(*zone)));
+        pb::DeleteRangeResponse response;
+        const etcd::Status status =
+            co_await client.Call("/etcdserverpb.KV/DeleteRange", request, &response, timeout);
+        if (!status.ok()) co_return Of(status);
+        deleted = response.deleted();
+        co_return Failure{};
+      });
+  if (code != kAllDid) return code;
+  if (command.json) {
+    out << json::serialize(json::object{{"zone", name}, {"ended", deleted > 0}}) << '\n';
+  } else {
+    out << (deleted > 0 ? "the order for " + name + " has ended; it comes back by steps\n"
+                        : "there was no order for " + name + "\n");
+  }
+  return kAllDid;
+}
+
+int ZonesHistory(const ZonesCommand& command, int most, std::ostream& out, std::ostream& err) {
+  struct Past {
+    std::int64_t revision = 0;
+    Decision decision;
+  };
+  std::vector<Past> past;
+  std::string ended;
+  const auto talk = [&](etcd::Client& client, milliseconds timeout) -> asio::awaitable<Failure> {
+    std::int64_t at = 0;  // the newest
+    while (static_cast<int>(past.size()) < most) {
+      pb::RangeRequest range;
+      range.set_key(KeyOf(command, "decision"));
+      range.set_revision(at);
+      pb::RangeResponse found;
+      const etcd::Status status = co_await client.Call("/etcdserverpb.KV/Range", range, &found, timeout);
+      if (status.code == etcd::Code::kOutOfRange && at > 0) {  // compacted
+        ended = "etcd has forgotten what was before";
+        co_return Failure{};
+      }
+      if (!status.ok()) co_return Of(status);
+      if (found.kvs_size() == 0) co_return Failure{};
+      std::string why;
+      auto decision = regions::DecodeDecision(found.kvs(0).value(), command.regions.zones.size(), &why);
+      if (!decision) co_return Failure{kSomeDidNot, "a decision can't be read: " + why};
+      past.push_back({found.kvs(0).mod_revision(), std::move(*decision)});
+      at = past.back().revision - 1;
+      if (at < 1) co_return Failure{};
+    }
+    co_return Failure{};
+  };
+  const int code = Converse(command, err, talk);
+  if (code != kAllDid) return code;
+  Table table({"EPOCH", "REVISION", "DECIDED BY", "WHAT CHANGED"}, command.color);
+  json::array all;
+  for (std::size_t i = 0; i < past.size(); ++i) {
+    const Decision& d = past[i].decision;
+    std::string changed;
+    for (std::size_t z = 0; z < d.zones.size(); ++z) {
+      const bool known = i + 1 < past.size();
+      if (known && past[i + 1].decision.zones[z].state == d.zones[z].state) continue;
+      if (!known && d.zones[z].state == regions::ZoneState::kSound) continue;
+      changed += (changed.empty() ? "" : "; ") + command.regions.zones[z] + " " +
+                 std::string(regions::Name(d.zones[z].state)) +
+                 (d.zones[z].why.empty() ? "" : ": " + d.zones[z].why);
+    }
+    table.Add({std::to_string(d.epoch), std::to_string(past[i].revision), d.decider,
+               changed.empty() ? "how much" : changed});
+    all.push_back(json::object{
+        {"epoch", d.epoch}, {"revision", past[i].revision}, {"decided_by", d.decider}, {"changed", changed}});
+  }
+  if (command.json) {
+    out << json::serialize(all) << '\n';
+    return kAllDid;
+  }
+  if (!table.empty()) out << table.Text();
+  if (!ended.empty()) out << ended << '\n';
+  return kAllDid;
+}
+
+}  // namespace badgerbridge::ctl
--- a/src/regions/decider.cpp
+++ b/src/regions/decider.cpp
@@ -251,6 +251,7 @@
       ++seen[r].words;
       const bool fails = pair.bad > kFails * pair.attempts;
       const bool is_slow = pair.timed > 0 && pair.slow > kSlow * seen[r].cold * pair.timed;
+      if (o == r) seen[r].well_at_home = !fails && !is_slow;
       seen[r].failing += fails;
       seen[r].slow_at += is_slow;
       if (fails || is_slow) who += (who.empty() ? "" : ", ") + std::to_string(o);
@@ -307,8 +308,10 @@
   zone.relapses *= std::exp2(-elapsed / kRelapseMemory.count());
   // Two places, or the only one that sends there.
   const auto by_several = [&](int places) { return places >= 2 || (places == 1 && seen.words == 1); };
-  const bool fails = by_several(seen.failing);
-  const bool slow = by_several(seen.slow_at) && (zone.shown <= 0 || seen.served < kFellShort * zone.shown);
+  // Well for its own members, it is cut off and not ill: that shuts it to those who fail there (Pair::shut).
+  const bool fails = by_several(seen.failing) && !seen.well_at_home;
+  const bool slow = by_several(seen.slow_at) && !seen.well_at_home &&
+                    (zone.shown <= 0 || seen.served < kFellShort * zone.shown);
   const bool quick = seen.words > 0 && seen.failing == 0 && seen.slow < kNotSlow * seen.cold;
   if (!quick) zone.well = false;
   if (quick && !std::exchange(zone.well, true)) zone.well_since = now;
@@ -372,7 +375,7 @@
       return enter(ZoneState::kReturning, kFirstStep * zone.shown, "the order has ended");
     case ZoneState::kReturning:
       if (fails) return enter(ZoneState::kDark, kTrial * zone.shown, word("it failed as it returned,"));
-      if (by_several(seen.slow_at))
+      if (by_several(seen.slow_at) && !seen.well_at_home)
         return enter(ZoneState::kLimping,
                      std::max(kTrial * zone.shown, kCut * std::min(zone.limit, seen.served)),
                      word("it was slow as it returned,"));
--- a/src/regions/decider.h
+++ b/src/regions/decider.h
@@ -66,6 +66,7 @@
     double cold = 1;                          // times that it is slower for the converters that just started
     double warm = 0;                          // warm converters' worth, as members' lists have it
     int words = 0, failing = 0, slow_at = 0;  // places that speak of it, say that it fails, that it is slow
+    bool well_at_home = false;                // by the word of its own members
     std::string who;                          // the places that speak against it, for people
   };
   struct Pair {
--- a/tests/operator/operator_file_test.cpp
+++ b/tests/operator/operator_file_test.cpp
@@ -153,5 +153,39 @@
   EXPECT_GT(refused, 10000);
 }
 
+#ifdef BADGERBRIDGE_HAS_ETCD
+TEST(OperatorFile, RegionsAreCheckedWhole) {
+  EXPECT_EQ(Check("[regions]\nzones = [\"a\", \"b\"]\n"),
+            "op.toml:1:1: regions needs endpoints = [\"127.0.0.1:2379\"], or an [etcd] table that says where "
+            "etcd is\n");
+  EXPECT_EQ(Check("[regions]\nzones = [\"a\", \"b\"]\ndecide = \"alone\"\n"), "");
+  const std::string head = "[regions]\nendpoints = [\"127.0.0.1:1\"]\n";
+  EXPECT_EQ(Check(head + "zones = [\"a\", \"a\"]\n"), "op.toml:3:9: regions.zones names a twice\n");
+  EXPECT_EQ(Check(head + "zones = [\"a\"]\nlease = \"1500ms\"\n"),
+            "op.toml:4:9: regions.lease is no whole number of seconds; \"3s\" would be right\n");
+  EXPECT_EQ(
+      Check(head + "zones = [\"a\"]\nbeat = \"2s\"\n"),
+      "op.toml:4:8: regions.beat contradicts the other time: three beats (2s) must fit into a lease (3s)\n");
+  EXPECT_EQ(Check(head + "zones = [\"a\", \"b\"]\n[[regions.link]]\nfrom = \"a\"\nto = \"c\"\n"),
+            "op.toml:6:6: regions.link.to is \"c\", which zones does not name\n");
+  EXPECT_NE(Check(head + "zones = []\n").find("must name 1 to 64 zones"), std::string::npos);
+  EXPECT_NE(Check(head + "zones = [\"a\"]\ndecide = \"never\"\n").find("together or alone would be right"),
+            std::string::npos);
+}
+
+TEST(OperatorFile, RegionsReachEtcdAsMembershipDoes) {
+  Problems problems;
+  const OperatorFile file = Parse(
+      "[etcd]\nendpoints = [\"127.0.0.1:7\"]\nuser = \"u\"\npassword_file = \"p\"\n[regions]\nzones = "
+      "[\"a\"]\n",
+      "op.toml", problems);
+  EXPECT_EQ(Lines(problems), "");
+  ASSERT_TRUE(file.regions);
+  EXPECT_EQ(file.regions->endpoints, std::vector<std::string>{"127.0.0.1:7"});
+  EXPECT_EQ(file.regions->user, "u");
+  EXPECT_EQ(file.regions->prefix, "/badgerbridge/regions/");
+}
+#endif
+
 }  // namespace
 }  // namespace badgerbridge::operator_file
--- a/tests/regions/member_test.cpp
+++ b/tests/regions/member_test.cpp
@@ -133,6 +133,33 @@
   EXPECT_FALSE(DecodeDecision(stray, 2, &why));
 }
 
+TEST(RegionsDecision, WhomItCountsStandsBesideIt) {
+  Decision d;
+  d.epoch = 12;
+  d.zones.resize(2);
+  d.grants = d.ceiling = d.standby = Matrix(2);
+  d.returned = {{"n7", 31}};
+  d.roll = {{"n1", 0}, {"n7", 1}};
+  std::string why;
+  auto read = DecodeDecision(Encode(d), 2, &why);
+  ASSERT_TRUE(read) << why;
+  EXPECT_EQ(read->returned, d.returned);
+  EXPECT_TRUE(read->roll.empty());
+  EXPECT_TRUE(DecodeRoll(EncodeRoll(d), 2, &*read));
+  EXPECT_EQ(*read, d);
+  Decision other = d;
+  other.epoch = 13;
+  other.roll.clear();
+  EXPECT_FALSE(DecodeRoll(EncodeRoll(d), 2, &other));  // of another epoch
+  EXPECT_FALSE(DecodeRoll(EncodeRoll(d), 1, &*read));  // a zone that is none
+  for (const char* text : {"", "{}", "[]", R"({"epoch":12})", R"({"epoch":12,"members":[["n1"]]})",
+                           R"({"epoch":12,"members":[["n1",-1]]})", R"({"epoch":12,"members":[[1,1]]})"})
+    EXPECT_FALSE(DecodeRoll(text, 2, &*read)) << text;
+  std::string bad = Encode(d);
+  bad.replace(bad.find("[\"n7\",31]"), 9, "[\"n7\",\"\"]");
+  EXPECT_FALSE(DecodeDecision(bad, 2, &why));
+}
+
 TEST(RegionsMeter, WhoSeesAllFailDoubtsItself) {
   Meter meter(0, 2, 1);
   for (std::uint64_t i = 0; i < 10; ++i) {
@@ -206,6 +233,36 @@
   EXPECT_TRUE(small.all[0]->admitted());
 }
 
+// A restarted proxy must not wait until everybody else that vanished with it has been given up.
+TEST(RegionsMember, WhoComesBackUnderItsNameTakesItsPartAtOnce) {
+  Small small(4);
+  small.Play(5000, {false, true});
+  ASSERT_GT(small.all[0]->Shares(At(small.now))[1], 0);
+  const std::size_t dies = small.all[0]->deciding() ? 2 : 0;
+  small.held = dies;  // says nothing more: its lease runs out
+  small.Play(4500, {false, true});
+  small.all[dies] = std::make_unique<Member>(Named(small.names[dies], 0), 99);
+  small.all[dies]->Listed({4, 4});
+  small.held = SIZE_MAX;
+  small.Play(1500, {false, true});
+  EXPECT_TRUE(small.all[dies]->admitted());
+  EXPECT_GT(small.all[dies]->Shares(At(small.now))[1], 0);
+}
+
+// Converters that leave the list are gone, and not ill; and those that come are taken at their word.
+TEST(RegionsMember, AZoneWhoseConvertersHaveLeftTheListIsNotDark) {
+  Small small(4);
+  small.Play(4000);
+  for (const auto& one : small.all) one->Listed({0, 4});
+  small.Play(2500, {false, true});
+  EXPECT_EQ(small.all[1]->decision()->zones[0].state, ZoneState::kSound);
+  EXPECT_LT(small.all[1]->decision()->zones[0].limit, 0.1);
+  for (const auto& one : small.all) one->Listed({4, 4});
+  small.Play(2500);
+  EXPECT_EQ(small.all[1]->decision()->zones[0].state, ZoneState::kSound);
+  EXPECT_GT(small.all[1]->decision()->zones[0].limit, 0.5);
+}
+
 TEST(RegionsMember, AnOrderEmptiesAZoneAndItsEndBringsItBackByStepsFromALittle) {
   Small small(4);
   small.Play(4000);
--- /dev/null
+++ b/tests/regions/proxy_test.cpp
@@ -0,0 +1,246 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Proxies that decide in common, end to end: tool, agent and proxies as processes, a stand-in etcd; and the
+// calls as etcd's API has them, against the stand-in's store.
+#include <gtest/gtest.h>
+
+#include <boost/json.hpp>
+
+#include "app/regions_calls.h"
+#include "regions/evacuation.h"
+#include "standins/clients.h"
+#include "standins/etcd.h"
+#include "standins/site.h"
+
+namespace badgerbridge::app {
+namespace {
+
+namespace json = boost::json;
+namespace pb = etcdserverpb;
+using namespace standins;
+using std::chrono::milliseconds;
+
+const std::string kPrefix = "/badgerbridge/regions/";
+
+class ZonesTest : public ::testing::Test {
+ protected:
+  ZonesTest() {
+    SiteSettings settings;
+    settings.proxies = 3;
+    settings.converters = 4;  // two in each of the zones a and b; the proxies stand in a
+    settings.service = milliseconds(10);
+    site = std::make_unique<Site>(io, settings);
+    etcd = std::make_unique<Etcd>(io, EtcdSettings{});
+    const auto at = etcd->address(0);
+    const std::string table = "[regions]\nendpoints = [\"" + at.address().to_string() + ":" +
+                              std::to_string(at.port()) + "\"]\nzones = [\"a\", \"b\"]\n";
+    for (int i = 0; i < 3; ++i)
+      site->Write(site->Name(i) + ".toml",
+                  "[control]\nsocket = \"" + site->folder() + "/" + site->Name(i) + ".sock\"\n" + table);
+    site->Write("zones.toml", table);
+  }
+  json::object Zones(int proxy) {
+    auto reply = std::make_shared<std::optional<api::Reply>>();
+    boost::asio::co_spawn(io,
+                          api::CallUnix(site->folder() + "/" + site->Name(proxy) + ".sock", "GET",
+                                        "/v1/zones", "", milliseconds(3000)),
+                          [reply](std::exception_ptr, api::Reply answer) { *reply = std::move(answer); });
+    EXPECT_TRUE(site->Until([&] { return reply->has_value(); }));
+    return (*reply)->ok() ? (*reply)->body.as_object() : json::object{};
+  }
+  bool Admitted() {
+    for (int i = 0; i < 3; ++i) {
+      const json::object zones = Zones(i);
+      if (!zones.contains("admitted") || !zones.at("admitted").as_bool()) return false;
+    }
+    return true;
+  }
+  std::string State(const std::string& zone) {
+    const json::object zones = Zones(0);
+    if (!zones.contains("zones")) return "";
+    for (const json::value& one : zones.at("zones").as_array()) {
+      if (one.at("name").as_string() == zone && one.as_object().contains("state"))
+        return std::string(one.at("state").as_string());
+    }
+    return "";
+  }
+  CommandResult Ctl(std::vector<std::string> words) {
+    words.insert(words.begin(), "zones");
+    words.insert(words.end(), {"--operator", site->folder() + "/zones.toml"});
+    return site->Ctl(words);
+  }
+  std::size_t TakenIn(const std::string& zone) {
+    std::size_t sum = 0;
+    for (const auto& one : site->converters()) sum += one->settings().zone == zone ? one->taken() : 0;
+    return sum;
+  }
+
+  boost::asio::io_context io{1};
+  std::unique_ptr<Site> site;
+  std::unique_ptr<Etcd> etcd;
+};
+
+TEST_F(ZonesTest, ProxiesDecideInCommonAndLeaveAZoneWhenOrderedTo) {
+  site->StartAgent();
+  ASSERT_TRUE(site->Until([&] { return site->All("ready"); }));
+  ASSERT_TRUE(site->Until([&] { return Admitted(); }));
+  Clients clients(io, site->addresses(), {150, milliseconds(1500), 9});
+  ASSERT_TRUE(site->Until([&] { return clients.ready() == 3; }));
+  clients.Start();
+  ASSERT_TRUE(site->Until([&] { return clients.account().served > 300; }));
+
+  CommandResult shown = Ctl({});
+  EXPECT_EQ(shown.code, 0) << shown.err;
+  EXPECT_NE(shown.out.find("3 proxies take part"), std::string::npos) << shown.out;
+  shown = Ctl({"-o", "json"});
+  EXPECT_EQ(json::parse(shown.out).at("zones").as_array().size(), 2u) << shown.out;
+
+  // Nobody has said that b could carry it all: it has shown little. Said, and not ordered.
+  const CommandResult dry = Ctl({"evacuate", "a", "--for", "30s", "--dry-run"});
+  EXPECT_NE(dry.out.find("WOULD CARRY"), std::string::npos) << dry.out << dry.err;
+  EXPECT_EQ(etcd->store().revision() > 0 && State("a") == "sound", true);
+
+  const CommandResult ordered = Ctl({"evacuate", "a", "--for", "30s", "--force", "--as", "the night shift"});
+  ASSERT_EQ(ordered.code, 0) << ordered.err;
+  ASSERT_TRUE(site->Until([&] { return State("a") == "evacuated"; }));
+  site->For(milliseconds(700));  // each proxy reads it within a beat
+  const std::size_t before_a = TakenIn("a"), before_b = TakenIn("b");
+  site->For(milliseconds(1500));
+  EXPECT_EQ(TakenIn("a"), before_a);
+  EXPECT_GT(TakenIn("b"), before_b);
+  EXPECT_NE(Ctl({}).out.find("ordered by the night shift"), std::string::npos);
+  EXPECT_EQ(Ctl({"evacuate", "a", "--for", "30s", "--force"}).code, 3);  // there is one already
+
+  EXPECT_EQ(Ctl({"return", "a"}).code, 0);
+  ASSERT_TRUE(site->Until([&] { return State("a") == "sound"; }));
+  ASSERT_TRUE(site->Until([&] { return TakenIn("a") > before_a + 20; }));
+  EXPECT_NE(Ctl({"return", "a"}).out.find("there was no order"), std::string::npos);
+  const CommandResult history = Ctl({"history"});
+  EXPECT_NE(history.out.find("a evacuated: ordered by the night shift"), std::string::npos) << history.out;
+  EXPECT_EQ(Ctl({"evacuate", "nowhere", "--for", "30s"}).code, 2);
+
+  // An order ends by itself.
+  ASSERT_EQ(Ctl({"evacuate", "b", "--for", "2s", "--force"}).code, 0);
+  ASSERT_TRUE(site->Until([&] { return State("b") == "evacuated"; }));
+  ASSERT_TRUE(site->Until([&] { return State("b") == "sound"; }));
+
+  clients.Stop();
+  ASSERT_TRUE(site->Until([&] { return clients.Done(); }));
+  EXPECT_EQ(clients.account().lost, 0u);
+  EXPECT_EQ(site->ledger().doubled(), 0u);
+  EXPECT_EQ(etcd->protocol_errors(), 0u);
+}
+
+TEST_F(ZonesTest, WithEtcdGoneItGoesOnAsItDidAndSaysSo) {
+  site->StartAgent();
+  ASSERT_TRUE(site->Until([&] { return site->All("ready"); }));
+  ASSERT_TRUE(site->Until([&] { return Admitted(); }));
+  etcd->Down(0);
+  ASSERT_TRUE(site->Until([&] { return !Zones(0).at("in_touch").as_bool(); }));
+  Clients clients(io, site->addresses(), {100, milliseconds(1500), 9});
+  ASSERT_TRUE(site->Until([&] { return clients.ready() == 3; }));
+  clients.Start();
+  ASSERT_TRUE(site->Until([&] { return clients.account().served > 200; }));
+  EXPECT_EQ(Ctl({}).code, 5);
+  etcd->Up(0);
+  ASSERT_TRUE(site->Until([&] { return Admitted() && Zones(0).at("in_touch").as_bool(); }));
+  clients.Stop();
+  ASSERT_TRUE(site->Until([&] { return clients.Done(); }));
+  EXPECT_EQ(clients.account().lost + clients.account().refused, 0u);
+}
+
+TEST_F(ZonesTest, OtherZonesThanTheConfigurationsAreOneLine) {
+  site->Write("n1.toml", "[regions]\ndecide = \"alone\"\nzones = [\"b\", \"a\"]\n");
+  site->Write("n1.json", site->ConfigText("n1"));
+  const CommandResult result = site->Ctl({"zones", "--operator", site->folder() + "/n1.toml"});
+  EXPECT_EQ(result.code, 2);
+  EXPECT_NE(result.err.find("decide alone"), std::string::npos) << result.err;
+  EXPECT_EQ(site->Ctl({"zones"}).code, 2);
+}
+
+TEST(RegionsCalls, DoWithEtcdWhatTheMemberMeans) {
+  EtcdStore store;
+  using regions::Member;
+  const auto now = milliseconds(0);
+  pb::LeaseGrantResponse granted;
+  auto status = store.Grant(now, ToEtcd(Member::Grant{3}), &granted);
+  const Member::Reply lease = FromEtcd(status, granted);
+  ASSERT_TRUE(lease.ok);
+  const auto txn = [&](const pb::TxnRequest& request) {
+    pb::TxnResponse response;
+    const auto ended = store.Txn(request, &response);
+    response.mutable_header()->set_revision(store.revision());  // which is the server's to say
+    return FromEtcd(ended, response, kPrefix);
+  };
+  // A stranger's key beside the prefix is not read.
+  pb::PutRequest stray;
+  stray.set_key("/badgerbridge/regionsX");
+  pb::PutResponse ignored;
+  store.Put(stray, &ignored);
+
+  Member::Reply reply = txn(ToEtcd(Member::Beat{lease.lease, "word", true}, kPrefix, "n1"));
+  ASSERT_TRUE(reply.ok);
+  ASSERT_EQ(reply.kvs.size(), 1u);
+  EXPECT_EQ(reply.kvs[0].key, "members/n1");
+  EXPECT_EQ(reply.kvs[0].lease, lease.lease);
+  EXPECT_EQ(reply.kvs[0].created, reply.revision);
+  reply = txn(ToEtcd(Member::Beat{lease.lease + 1, "word", false}, kPrefix, "n1"));
+  EXPECT_FALSE(reply.ok);
+  EXPECT_TRUE(reply.lease_gone);
+
+  const Member::Reply stood = txn(ToEtcd(Member::Stand{lease.lease}, kPrefix, "n1"));
+  EXPECT_TRUE(stood.ok && stood.held);
+  EXPECT_FALSE(txn(ToEtcd(Member::Stand{lease.lease}, kPrefix, "n2")).held);
+  // Written by the decider of that term alone, and over no other decision than the one it read.
+  EXPECT_FALSE(txn(ToEtcd(Member::Propose{"d", "r", stood.revision + 7, 0}, kPrefix)).held);
+  EXPECT_FALSE(txn(ToEtcd(Member::Propose{"d", "r", stood.revision, 5}, kPrefix)).held);
+  const Member::Reply written = txn(ToEtcd(Member::Propose{"d", "r", stood.revision, 0}, kPrefix));
+  EXPECT_TRUE(written.held);
+  EXPECT_FALSE(txn(ToEtcd(Member::Propose{"e", "r", stood.revision, 0}, kPrefix)).held);
+  reply = txn(ToEtcd(Member::Beat{lease.lease, "word", false}, kPrefix, "n1"));
+  EXPECT_EQ(reply.kvs.size(), 3u);  // its own, the decision, the decider; no roll
+  EXPECT_EQ(txn(ToEtcd(Member::Beat{lease.lease, "word", true}, kPrefix, "n1")).kvs.size(), 4u);
+
+  pb::LeaseKeepAliveResponse kept;
+  kept.set_id(lease.lease);
+  kept.set_ttl(3);
+  EXPECT_TRUE(FromEtcd(etcd::Status{}, kept).ok);
+  kept.set_ttl(0);
+  EXPECT_TRUE(FromEtcd(etcd::Status{}, kept).lease_gone);
+  EXPECT_EQ(EndOf("a/"), "a0");
+  EXPECT_EQ(EndOf("a\xff"), "b");
+  EXPECT_EQ(EndOf("\xff"), std::string(1, '\0'));
+}
+
+TEST(RegionsCalls, AReportsUtilIsANumberOrNothing) {
+  EXPECT_EQ(UtilIn("inflight=7,queue=2,util=0.61"), 0.61);
+  EXPECT_EQ(UtilIn("util=1"), 1.0);
+  for (const char* text : {"", "util", "util=", "util=-0.1", "util=1.01", "util=nan", "util=0.5x",
+                           "utility=0.5", "inflight=3", ",,,", "util=1e999"})
+    EXPECT_FALSE(UtilIn(text)) << text;
+}
+
+TEST(RegionsEvacuation, TheNearestTakeItFirstAndWhatNobodyHasRoomForIsSaid) {
+  regions::Decision d;
+  d.zones.resize(4);
+  const auto set = [&](std::size_t z, double carried, double limit) {
+    d.zones[z].carried = carried;
+    d.zones[z].limit = limit;
+    d.zones[z].demand = carried;
+  };
+  set(0, 10, 20), set(1, 5, 8), set(2, 5, 20), set(3, 1, 50);
+  d.zones[3].state = regions::ZoneState::kLimping;  // is no help
+  regions::Matrix round_trip(4, 2), price(4, 1);
+  price.at(0, 2) = 2;
+  const auto plan = regions::PlanEvacuation(d, round_trip, price, 500, 0);
+  ASSERT_EQ(plan.receivers.size(), 2u);
+  EXPECT_EQ(plan.receivers[0].zone, 1u);
+  EXPECT_EQ(plan.receivers[0].would, 8);
+  EXPECT_EQ(plan.receivers[1].would, 12);
+  EXPECT_EQ(plan.unplaced, 0);
+  round_trip.at(0, 2) = 300;  // too far to be of help in time
+  EXPECT_EQ(regions::PlanEvacuation(d, round_trip, price, 500, 0).unplaced, 7);
+}
+
+}  // namespace
+}  // namespace badgerbridge::app
