--- a/src/app/regions_calls.cpp
+++ b/src/app/regions_calls.cpp
@@ -86,7 +86,15 @@
   pb::TxnRequest txn;
   Put(&txn, prefix + "members/" + name, call.value, call.lease);
   if (!call.all) Get(&txn, prefix + "members/" + name, false);
+  // The key always, and the value where it is another than the one that is known.
   Get(&txn, prefix + "decision", false);
+  if (call.known > 0) {
+    txn.mutable_success(txn.success_size() - 1)->mutable_request_range()->set_keys_only(true);
+    Get(&txn, prefix + "decision", false);
+    txn.mutable_success(txn.success_size() - 1)
+        ->mutable_request_range()
+        ->set_min_mod_revision(call.known + 1);
+  }
   Get(&txn, prefix + "decider", false);
   Get(&txn, prefix + "orders/", true);
   if (call.all) {
@@ -138,6 +146,10 @@
   for (const pb::ResponseOp& one : response.responses()) {
     for (const pb::KeyValue& kv : one.response_range().kvs()) {
       if (kv.key().rfind(prefix, 0) != 0) continue;
+      // The key alone, and then the value, too: the latter counts.
+      const std::string key = kv.key().substr(prefix.size());
+      if (key == "decision")
+        std::erase_if(reply.kvs, [&](const regions::Kv& other) { return other.key == key; });
       reply.kvs.push_back(
           {kv.key().substr(prefix.size()), kv.value(), kv.create_revision(), kv.mod_revision(), kv.lease()});
     }
--- a/src/lab/etcd.cpp
+++ b/src/lab/etcd.cpp
@@ -81,7 +81,13 @@
     if (!alive(beat->lease)) return reply;
     Write("members/" + member, beat->value, beat->lease);
     if (!beat->all) Read("members/" + member, false, &reply);
-    Read("decision", false, &reply);
+    const auto decision = keys_.find("decision");
+    if (decision != keys_.end() && decision->second.modified == beat->known) {
+      reply.kvs.push_back(decision->second);
+      reply.kvs.back().value.clear();
+    } else {
+      Read("decision", false, &reply);
+    }
     Read("decider", false, &reply);
     Read("orders/", true, &reply);
     if (beat->all) {
--- a/src/regions/member.cpp
+++ b/src/regions/member.cpp
@@ -72,7 +72,7 @@
     stand_at_ = TimePoint{};
   } else if (now >= next_beat_) {
     last_ = meter_.Take(now, decision_ ? decision_->epoch : 0);
-    call = Beat{lease_, Encode(last_), deciding()};
+    call = Beat{lease_, Encode(last_), deciding(), decision_modified_};
     next_beat_ = std::max(now, next_beat_ + settings_.beat);
   } else {
     wake_ = std::min(next_beat_, stand_at_ == TimePoint{} ? kNever : stand_at_);
--- a/src/regions/member.h
+++ b/src/regions/member.h
@@ -54,11 +54,13 @@
     std::int64_t lease = 0;
   };
   // Puts members/NAME under the lease, then reads members/NAME, decision, decider and orders/, and members/
-  // and roll if `all`: in one transaction.
+  // and roll if `all`: in one transaction. Of a decision of the modification `known` the key alone, without
+  // its value.
   struct Beat {
     std::int64_t lease = 0;
     std::string value;
     bool all = false;
+    std::int64_t known = 0;
   };
   // Makes `decider` under the lease if there is no such key.
   struct Stand {
--- a/tests/regions/proxy_test.cpp
+++ b/tests/regions/proxy_test.cpp
@@ -200,6 +200,17 @@
   reply = txn(ToEtcd(Member::Beat{lease.lease, "word", false}, kPrefix, "n1"));
   EXPECT_EQ(reply.kvs.size(), 3u);  // its own, the decision, the decider; no roll
   EXPECT_EQ(txn(ToEtcd(Member::Beat{lease.lease, "word", true}, kPrefix, "n1")).kvs.size(), 4u);
+  // What is known already is not sent again.
+  const auto value_with = [&](std::int64_t known) {
+    const auto read = txn(ToEtcd(Member::Beat{lease.lease, "word", false, known}, kPrefix, "n1"));
+    for (const auto& kv : read.kvs) {
+      if (kv.key == "decision") return std::to_string(kv.modified == written.revision) + kv.value;
+    }
+    return std::string("none");
+  };
+  EXPECT_EQ(value_with(0), "1d");
+  EXPECT_EQ(value_with(written.revision - 1), "1d");
+  EXPECT_EQ(value_with(written.revision), "1");
 
   pb::LeaseKeepAliveResponse kept;
   kept.set_id(lease.lease);
