Regions: lend nine tenths of the room that is left, and keep standby beside it

Cause: with half of the room lent beforehand, each change of who asks for what waited for a decision (some 0.5 s) and a confirmation, and 3 % more was kept for chance at home.

The random test found two holes that the margin had covered: a member that was stopped for a moment reports little demand for a second, and its zone's room was lent (less than 0.9 of what was asked lately is not believed at once now); and standby was reckoned as if the others' lent room were free.

--- a/src/regions/decider.cpp
+++ b/src/regions/decider.cpp
@@ -32,14 +32,15 @@
 constexpr Duration kRelapseMemory{30000};
 constexpr double kFirstOfLike = 0.2;    // of what another zone's converters have shown, each
 constexpr double kFirstOfDemand = 0.1;  // where none has shown anything
-constexpr double kMargin = 1.03;        // over what is asked, for chance
-constexpr double kOptional = 0.5;       // of the room left over, for all: the rest waits for a fault
+constexpr double kOptional = 0.9;       // of the room left over, for all: the rest stands by
 constexpr double kPairTrial = 0.01;     // of its limit, for a zone that fails its own members alone
 constexpr Duration kFirstShut{5000}, kLongestShut{80000};  // a zone to an origin that it fails
 constexpr Duration kLeastBetween{150};                     // two decisions
 constexpr Duration kRestless{2000};                        // small changes wait for so long
 constexpr double kLargeChange = 0.1, kSmallChange = 0.02;  // of the largest limit
 constexpr Duration kStart{1500};
+constexpr double kDip = 0.9;  // of what was asked lately: less is not believed at once
+constexpr Duration kPeakMemory{5000};
 constexpr int kHalvings = 30;
 constexpr double kTiny = 1e-9;
 constexpr std::uint64_t kNothingYet = UINT64_MAX;  // has not been granted anything
@@ -436,29 +437,36 @@
     free[z] = zone.state == ZoneState::kSound && !pairs_[z][z].shut;
     const double able = std::min(zone.limit, std::max(Able(zone) * kBeyond, 0.0));
     const double limit = pairs_[z][z].shut ? kPairTrial * able : able;
-    home[z] = std::min(kMargin * demand[z], limit);
-    home_most[z] = std::min(kMargin * demand[z], able);
+    home[z] = std::min(demand[z], limit);
+    // Who was stopped for a moment says for a second that it is asked for little.
+    const double peak = cases_[z].peak;
+    home_most[z] = std::min(demand[z] < kDip * peak ? peak : demand[z], able);
     wanted.at(z, z) = free[z] ? kFree : home[z];
-    room[z] = zone.state == ZoneState::kSound ? std::max(0.0, able - home[z] - kept[z]) : 0;
-    want[z] = std::max(0.0, kMargin * demand[z] - home[z]);
+    room[z] = zone.state == ZoneState::kSound ? std::max(0.0, able - home_most[z] - kept[z]) : 0;
+    want[z] = std::max(0.0, demand[z] - home[z]);
   }
   const Matrix given = Spread(want, &room);
-  // For the loss of one zone while nobody can decide: what is left has room for that zone's work.
-  std::vector<double> rest = room;
+  const double all = std::accumulate(demand.begin(), demand.end(), 0.0);
+  const auto optional = [&](std::size_t o, std::size_t r) {
+    return o != r && all > demand[r] ? kOptional * room[r] * demand[o] / (all - demand[r]) : 0.0;
+  };
+  // For the loss of one zone while nobody can decide: what is left beside what the others may go on to use.
   Matrix standby(n);
   for (std::size_t o = 0; o < n; ++o) {
     std::vector<double> one(n);
-    one[o] = kMargin * demand[o];
-    std::vector<double> left = rest;
+    one[o] = demand[o];
+    std::vector<double> left = room;
+    for (std::size_t r = 0; r < n; ++r) {
+      for (std::size_t other = 0; other < n; ++other) left[r] -= other != o ? optional(other, r) : 0;
+    }
     const Matrix spread = Spread(one, &left);
     for (std::size_t r = 0; r < n; ++r) standby.at(o, r) = spread.at(o, r);
   }
-  const double all = std::accumulate(demand.begin(), demand.end(), 0.0);
   for (std::size_t r = 0; r < n; ++r) {
     for (std::size_t o = 0; o < n; ++o) {
       if (o == r) continue;
       double grant = given.at(o, r);
-      if (all > demand[r]) grant += kOptional * room[r] * demand[o] / (all - demand[r]);
+      grant += optional(o, r);
       if (pairs_[o][r].shut) grant = 0;
       if (cases_[r].state != ZoneState::kSound) grant = 0;
       wanted.at(o, r) = grant;
@@ -643,6 +651,7 @@
   const std::vector<Seen> seen = Look(now, snapshot);
   for (std::size_t z = 0; z < rules_.zones; ++z)
     Judge(now, z, seen[z], z < snapshot.evacuated.size() ? snapshot.evacuated[z] : std::string());
+  const double elapsed = looked_at_ == TimePoint{} ? 0 : (now - looked_at_).count();
   looked_at_ = now;
   GiveFirstRoom(snapshot);
 
@@ -672,6 +681,8 @@
     if (before_too || lives_.at({word.member, word.created}).inherits) next.returned.push_back(one);
   }
   const std::vector<double> demand = Demand(snapshot);
+  for (std::size_t z = 0; z < rules_.zones; ++z)
+    cases_[z].peak = std::max(demand[z], cases_[z].peak * std::exp2(-elapsed / kPeakMemory.count()));
   std::vector<int> members(rules_.zones);
   for (const Word& word : snapshot.words) ++members[static_cast<std::size_t>(word.evidence.zone)];
   std::vector<int> lost(rules_.zones);
--- a/src/regions/decider.h
+++ b/src/regions/decider.h
@@ -83,6 +83,7 @@
     double most_warm = 0;          // warm converters' worth that it had lately
     double of_warm = 0, warm = 0;  // warm converters' worth that showed it; that is there now
     double asked = 0;              // of its members, when all of them were last there
+    double peak = 0;               // of it, lately
     double relapses = 0;           // halved by kRelapseMemory
     TimePoint stepped{}, well_since{};
     bool well = false;
