Trials: test what they hold against the decision, and have them fail where nothing was looked at

A trial in which half of the proxies were not seen together once a second in the mean, or in which nobody decided when whoever decides was to be frozen, passed without a word; both are troubles now. That a proxy which ends at its start is told was never made to happen: it is.

--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -173,6 +173,8 @@
       one.share = static_cast<double>(fault->Whole("share_percent", 100, 1, 100)) / 100;
       one.value = static_cast<double>(fault->Whole("value", 0, 0, 1000000000));
       if (one.what == "swallow") one.value = std::min(1.0, one.value / 100);
+      if (one.what.find("_decider") != std::string::npos && !model.together.regions)
+        fault->Report("what", "is about whoever decides, and regions = true stands nowhere");
       fault->Finish();
     }
     table->Finish();
--- a/tests/together/regions_watch.cpp
+++ b/tests/together/regions_watch.cpp
@@ -23,8 +23,47 @@
   return found && found->is_number() ? found->to_number<double>() : otherwise;
 }
 
+struct Found {
+  std::string value;
+  std::int64_t modified = 0;
+};
+
+// As of a revision; 0: now.
+Found Read(const standins::EtcdStore& store, const std::string& key, std::int64_t revision = 0) {
+  etcdserverpb::RangeRequest request;
+  request.set_key(key);
+  request.set_revision(revision);
+  etcdserverpb::RangeResponse response;
+  if (!store.Range(request, &response).ok() || response.kvs_size() == 0) return {};
+  return {response.kvs(0).value(), response.kvs(0).mod_revision()};
+}
+
 }  // namespace
 
+std::string DeciderIn(const standins::EtcdStore& store, const std::string& prefix) {
+  return Read(store, prefix + "decider").value;
+}
+
+WordsWritten CheckWords(const standins::EtcdStore& store, const std::string& prefix) {
+  WordsWritten all;
+  double later = 1e18;
+  for (Found at = Read(store, prefix + "decision"); at.modified > 1;
+       at = Read(store, prefix + "decision", at.modified - 1)) {
+    boost::system::error_code bad;
+    const json::value value = json::parse(at.value, bad);
+    const json::object none;
+    const json::object& word = !bad && value.is_object() ? value.get_object() : none;
+    ++all.words;
+    const double epoch = Number(word, "epoch", -1);
+    all.disorder += epoch < 0 || epoch >= later;
+    if (epoch >= 0) later = epoch;
+    const json::value* by = word.if_contains("decider");
+    const std::string decider = by && by->is_string() ? std::string(by->get_string()) : "";
+    all.unfenced += decider.empty() || decider != Read(store, prefix + "decider", at.modified).value;
+  }
+  return all;
+}
+
 std::unique_ptr<Part> ReadPart(const json::object& told, const std::vector<std::string>& zones) {
   const json::value* list = told.if_contains("zones");
   const json::value* zone = told.if_contains("zone");
@@ -139,7 +178,7 @@
     if (one.part->deciding) decider = name;
   }
   if (parts.empty()) return;
-  ++looks_;
+  looks_ += 2 * parts.size() >= all_.size();
   worst_ = std::max(worst_, WorstReceiver(parts));
   if (!decider.empty() && decider != decider_) told_(decider + " decides");
   if (!decider.empty()) decider_ = decider;
--- a/tests/together/regions_watch.h
+++ b/tests/together/regions_watch.h
@@ -15,8 +15,19 @@
 #include <string>
 #include <vector>
 
+#include "standins/etcd_store.h"
+
 namespace badgerbridge::together {
 
+// All words of the common decision that a store has, the newest first: each must be of a higher epoch than
+// the one before it, and by whoever held the decider's key at that moment.
+struct WordsWritten {
+  std::uint64_t words = 0, disorder = 0, unfenced = 0;
+};
+WordsWritten CheckWords(const standins::EtcdStore& store, const std::string& prefix);
+// Who holds the decider's key; empty: nobody.
+std::string DeciderIn(const standins::EtcdStore& store, const std::string& prefix);
+
 // One proxy's part, as it told it.
 struct Part {
   int zone = 0;
@@ -52,6 +63,7 @@
   // Highest epoch; 0 until somebody has decided.
   std::uint64_t epoch() const { return epoch_; }
   double worst_receiver() const { return worst_; }
+  // At how many moments at least half of the proxies could be held together.
   std::size_t looks() const { return looks_; }
   // A line for each proxy, as it last told its part.
   std::vector<std::string> Describe() const;
--- a/tests/together/roles.cpp
+++ b/tests/together/roles.cpp
@@ -16,6 +16,7 @@
 #include "standins/clients.h"
 #include "standins/discovery.h"
 #include "standins/etcd.h"
+#include "together/regions_watch.h"
 #include "together/wire.h"
 
 namespace badgerbridge::together {
@@ -249,46 +250,6 @@
 
 // ---- etcd ------------------------------------------------------------------------------------------------
 
-namespace {
-
-struct Found {
-  std::string value;
-  std::int64_t modified = 0;
-};
-
-// As of a revision; 0: now.
-Found Read(const standins::EtcdStore& store, const std::string& key, std::int64_t revision = 0) {
-  etcdserverpb::RangeRequest request;
-  request.set_key(key);
-  request.set_revision(revision);
-  etcdserverpb::RangeResponse response;
-  if (!store.Range(request, &response).ok() || response.kvs_size() == 0) return {};
-  return {response.kvs(0).value(), response.kvs(0).mod_revision()};
-}
-
-// All words of the common decision, the newest first: each must be of a higher epoch than the one before, and
-// by whoever held the decider's key at that moment.
-json::object Decisions(const standins::EtcdStore& store, const std::string& prefix) {
-  std::uint64_t words = 0, disorder = 0, unfenced = 0;
-  double later = 1e18;
-  for (Found at = Read(store, prefix + "decision"); at.modified > 0;
-       at = Read(store, prefix + "decision", at.modified - 1)) {
-    boost::system::error_code bad;
-    const json::value value = json::parse(at.value, bad);
-    const json::object none;
-    const json::object& word = !bad && value.is_object() ? value.get_object() : none;
-    ++words;
-    const double epoch = Number(word, "epoch", -1);
-    disorder += epoch < 0 || epoch >= later;
-    later = epoch;
-    unfenced += Text(word, "decider") != Read(store, prefix + "decider", at.modified).value;
-    if (at.modified <= 1) break;
-  }
-  return {{"decisions", words}, {"disorder", disorder}, {"unfenced", unfenced}};
-}
-
-}  // namespace
-
 int PlayEtcd() {
   asio::io_context io(1);
   Orders orders(io);
@@ -310,12 +271,15 @@
       for (int i = 0; i < members; ++i)
         what == "down" ? etcd->Down(static_cast<std::size_t>(i)) : etcd->Up(static_cast<std::size_t>(i));
     } else if (what == "decider") {  // who is it now
-      Orders::Say({{"decider", Read(etcd->store(), prefix + "decider").value}});
+      Orders::Say({{"decider", DeciderIn(etcd->store(), prefix)}});
     } else if (what == "order") {
       const std::string key = prefix + "orders/" + std::to_string(static_cast<int>(Number(order, "zone")));
       Flag(order, "leave") ? etcd->Put(key, "the plan") : etcd->Delete(key);
     } else if (what == "end") {
-      if (etcd) Orders::Say(Decisions(etcd->store(), prefix));
+      if (etcd) {
+        const WordsWritten words = CheckWords(etcd->store(), prefix);
+        Orders::Say({{"decisions", words.words}, {"disorder", words.disorder}, {"unfenced", words.unfenced}});
+      }
       Orders::Say({{"calls", etcd ? etcd->calls() : 0},
                    {"protocol_errors", etcd ? etcd->protocol_errors() : 0},
                    {"ended", true}});
--- a/tests/together/trial.cpp
+++ b/tests/together/trial.cpp
@@ -28,6 +28,7 @@
 constexpr double kSettle = 1500;       // ms after the load's end, for what is open
 constexpr double kAfterRevive = 1500;  // ms until a proxy that was started again counts as running
 constexpr double kPoll = 50;
+constexpr double kLeastLookEvery = 1000;  // ms, in the mean: shares that nobody held together prove nothing
 constexpr int kBlocks = 250;
 constexpr int kFirstProxy =
     10;  // the address of the first proxy in its zone's block; converters and links come before
@@ -482,8 +483,8 @@
     return true;
   }
   if (what != "freeze_decider" && what != "kill_decider") return false;
-  if (!etcd_) return true;
   on_decider_ = [this, what](const std::string& name) {
+    if (name.empty()) outcome_.troubles.push_back(what + ": nobody decided then");
     for (Proxy& proxy : proxies_) {
       if (proxy.name != name || proxy.down_since >= 0 || proxy.frozen_since >= 0) continue;
       Note(name + (what == "freeze_decider" ? " is frozen" : " is killed"));
@@ -696,6 +697,9 @@
     for (const std::string& line : regions_->Describe()) Note(line);
     outcome_.epoch = regions_->epoch();
     outcome_.worst_receiver = regions_->worst_receiver();
+    if (static_cast<double>(regions_->looks()) < model_.length / kLeastLookEvery)
+      outcome_.troubles.push_back("the proxies' shares were seen together " +
+                                  std::to_string(regions_->looks()) + " times only");
   }
   for (Proxy& proxy : proxies_) {
     const double since = std::max(proxy.down_since, proxy.frozen_since);
--- a/tests/together/trial_test.sh
+++ b/tests/together/trial_test.sh
@@ -28,6 +28,20 @@
   "$trial" $command >"$work/out" 2>&1 </dev/null || code=$?
   expect "$command" $code 2
 done
+# A proxy that ends at its start is told at once, with its last line.
+mkdir "$work/bin"
+ln "$trial" "$work/bin/badgertrial" 2>/dev/null || cp "$trial" "$work/bin/badgertrial"
+printf '#!/bin/sh\necho "no luck today" >&2\nexit 3\n' >"$work/bin/badgerbridge"
+chmod +x "$work/bin/badgerbridge"
+code=0
+"$work/bin/badgertrial" run "$work/all.toml" >"$work/out" 2>&1 || code=$?
+expect "a proxy that ends at its start" $code 1
+expect "how it ended" "$(grep -c 'did not run: n[0-9]* ended at its start, with 3: no luck today$' "$work/out")" 1
+# A plan that freezes whoever decides where nobody does.
+sed 's/^least_worth_percent = 100/&\n[[together.fault]]\nat = "1s"\nwhat = "freeze_decider"/' "$work/all.toml" >"$work/nobody.toml"
+code=0
+"$trial" run "$work/nobody.toml" >"$work/out" 2>&1 || code=$?
+expect "nobody decides" $code 2
 # Killed in the middle: every process that it started ends.
 "$trial" run "$work/all.toml" >"$work/out" 2>&1 &
 pid=$!
