--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -6,6 +6,7 @@
 #include <boost/json.hpp>
 #include <cstdio>
 #include <iostream>
+#include <optional>
 #include <thread>
 
 #include "api/version.h"
@@ -26,6 +27,19 @@
   return text;
 }
 
+// What deciding in common costs: calls, and bytes of keys and values both ways, a second for each proxy.
+struct Traffic {
+  double calls = 0, bytes = 0;
+};
+
+std::optional<Traffic> TrafficOf(const lab::Model& model, const lab::World& world,
+                                 const lab::Result& result) {
+  if (!world.members() || world.members()->etcd().calls() == 0 || result.length <= 0) return std::nullopt;
+  const double by = result.length / 1000 * model.proxies;
+  return Traffic{static_cast<double>(world.members()->etcd().calls()) / by,
+                 static_cast<double>(world.members()->etcd().bytes()) / by};
+}
+
 json::object Describe(const lab::Model& model, std::uint64_t seed, const lab::Result& result) {
   json::array classes;
   for (std::size_t i = 0; i < result.classes.size(); ++i) {
@@ -218,10 +232,16 @@
   if (!decide.empty()) model.decision.decide = DecideOf(decide);
   lab::World world(model, seed, lab::MakeBadgerbridge, ties);
   const lab::Result result = world.Run(most_steps);
+  const auto traffic = TrafficOf(model, world, result);
   if (output == "json") {
-    std::cout << json::serialize(Describe(model, seed, result)) << '\n';
+    json::object all = Describe(model, seed, result);
+    if (traffic) all["etcd_per_proxy_s"] = json::object{{"calls", traffic->calls}, {"bytes", traffic->bytes}};
+    std::cout << json::serialize(all) << '\n';
   } else {
     Print(model, seed, result);
+    if (traffic)
+      std::printf("etcd: %.1f calls and %.0f bytes a second for each proxy\n", traffic->calls,
+                  traffic->bytes);
   }
   return result.breach ? kBroke : kHeld;
 }
--- a/tests/lab/world_test.cpp
+++ b/tests/lab/world_test.cpp
@@ -311,5 +311,26 @@
   }
 }
 
+// Of evidence and decisions: the decider reads all evidence, so that each member's part stays the same.
+TEST(World, WhatAMemberCostsEtcdDoesNotGrowWithTheMembers) {
+  Model model = Small();
+  model.zones = 3, model.converters = 12;
+  model.clients.per_second = 300;
+  model.length = 10000;
+  model.decision.decide = RegionsModel::Decide::kTogether;
+  std::vector<double> calls, bytes;
+  for (const int proxies : {6, 48}) {
+    model.proxies = proxies;
+    World world(model, 3);
+    ASSERT_FALSE(world.Run().breach);
+    const double by = 10.0 * proxies;
+    calls.push_back(static_cast<double>(world.members()->etcd().calls()) / by);
+    bytes.push_back(static_cast<double>(world.members()->etcd().bytes()) / by);
+  }
+  EXPECT_LT(calls[1], 1.1 * calls[0]);
+  EXPECT_LT(bytes[1], 1.1 * bytes[0]);
+  EXPECT_GT(bytes[0], 100);
+}
+
 }  // namespace
 }  // namespace badgerbridge::lab
