Regions: who comes back waits for room one second at most

It waited until all grants of all zones fitted at once, and while a zone returns by steps some receiver is always full. Now it waits only where its zone would be given less than half meanwhile, and for one second. The random test found that a new decider knew no demand before its own first look, and lent what a restarted member's clients ask; it takes the record's now.

--- a/src/regions/decider.cpp
+++ b/src/regions/decider.cpp
@@ -43,6 +43,8 @@
 constexpr Duration kPeakMemory{5000};
 constexpr int kHalvings = 30;
 constexpr double kTiny = 1e-9;
+constexpr double kFallBack = 0.5;
+constexpr Duration kLongestWait{1000};   // of who comes back, for others to make room
 constexpr std::size_t kMostEpochs = 64;  // kept apart: a member that never confirms must not make it grow
 constexpr std::uint64_t kNothingYet = UINT64_MAX;  // has not been granted anything
 constexpr int kSlices = 50;                        // of what is asked, in which room is given away in turn
@@ -69,7 +71,7 @@
 
 void Decider::Begin() {
   started_ = false;
-  written_at_ = looked_at_ = began_ = TimePoint{};
+  written_at_ = looked_at_ = began_ = waits_since_ = TimePoint{};
   cases_.assign(rules_.zones, Case{});
   pairs_.assign(rules_.zones, std::vector<Pair>(rules_.zones));
   lives_.clear();
@@ -95,7 +97,7 @@
     cases_[z].limit = d.zones[z].limit;
     cases_[z].why = d.zones[z].why;
     cases_[z].stepped = now;
-    cases_[z].asked = d.zones[z].demand;
+    cases_[z].asked = cases_[z].peak = d.zones[z].demand;
     const auto vanished = [&](const std::string& name, TimePoint until) {
       gone_.push_back({name, static_cast<int>(z), 0, d.zones[z].demand / std::max(1, d.zones[z].members),
                        until, now + rules_.forget * (1 + 2 * rules_.drift), StandbyOf(static_cast<int>(z))});
@@ -430,7 +432,7 @@
   return given;
 }
 
-bool Decider::Allocate(const std::vector<double>& demand, const std::vector<Holders>& holders,
+void Decider::Allocate(const std::vector<double>& demand, const std::vector<Holders>& holders,
                        Decision* next) {
   const std::size_t n = rules_.zones;
   std::vector<double> room(n), want(n), home(n);
@@ -495,15 +497,26 @@
     most[r] = std::max(0.0, std::min(cases_[r].limit, kBeyond * Able(cases_[r])) -
                                 (cases_[r].state == ZoneState::kSound ? kept[r] : 0));
   next->standby = std::move(standby);
-  return Grow(wanted, home_most, most, holders, next);
+  Grow(wanted, home_most, most, holders, next);
+}
+
+// Whether members of some zone are given much less elsewhere by `next` than by `other`.
+bool Decider::FallsBack(const Decision& other, const Decision& next) const {
+  for (std::size_t o = 0; o < rules_.zones; ++o) {
+    double before = 0, after = 0;
+    for (std::size_t r = 0; r < rules_.zones; ++r) {
+      before += std::max(0.0, other.grants.at(o, r));
+      after += std::max(0.0, next.grants.at(o, r));
+    }
+    if (after < kFallBack * before) return true;
+  }
+  return false;
 }
 
 // Of what is wanted, as much as fits under `most` for each receiver, in two ways: once all that are there go
 // by it, and meanwhile, while each may go by the most of its old part and its new one.
-// False if not all of it does yet.
-bool Decider::Grow(const Matrix& wanted, const std::vector<double>& home, const std::vector<double>& most,
+void Decider::Grow(const Matrix& wanted, const std::vector<double>& home, const std::vector<double>& most,
                    const std::vector<Holders>& holders, Decision* next) const {
-  bool fits = true;
   const std::size_t n = rules_.zones;
   std::vector<Matrix> since(history_.size());  // the most that any epoch from this one on gives one member
   for (std::size_t i = history_.size(); i-- > 0;) {
@@ -580,12 +593,10 @@
       double low = 0, high = 1;
       for (int i = 0; i < kHalvings; ++i) (at_most((low + high) / 2) > room ? high : low) = (low + high) / 2;
       step = low;
-      fits = false;
     }
     for (std::size_t o = 0; o < n; ++o)
       next->grants.at(o, r) = counts(o) ? base[o] + step * (target[o] - base[o]) : wanted.at(o, r);
   }
-  return fits;
 }
 
 bool Decider::Worthwhile(TimePoint now, const Decision& before, const Decision& next) const {
@@ -720,14 +731,22 @@
     zone.demand = demand[z];
     zone.why = cases_[z].why;
   }
-  // Who comes to a part that others use meanwhile waits until they have made room; they do so now.
-  if (!Allocate(demand, Hold(now, snapshot, next), &next) &&
-      (next.admitted != before.admitted || next.returned != before.returned)) {
-    next.admitted = before.admitted;
-    std::erase_if(next.returned, [&](const Decision::Returned& one) {
+  Allocate(demand, Hold(now, snapshot, next), &next);
+  if (next.admitted != before.admitted || next.returned != before.returned) {
+    // Who comes to a part that others use meanwhile would have all of its zone fall back for a moment: it
+    // waits until they have made room, which they do by what is decided without it, but not for long.
+    Decision without = next;
+    without.admitted = before.admitted;
+    std::erase_if(without.returned, [&](const Decision::Returned& one) {
       return std::find(before.returned.begin(), before.returned.end(), one) == before.returned.end();
     });
-    Allocate(demand, Hold(now, snapshot, next), &next);
+    Allocate(demand, Hold(now, snapshot, without), &without);
+    if (waits_since_ == TimePoint{}) waits_since_ = now;
+    if (FallsBack(without, next) && now - waits_since_ < kLongestWait) {
+      next = std::move(without);
+    } else {
+      waits_since_ = TimePoint{};
+    }
   }
   if (snapshot.decision && !Worthwhile(now, before, next)) return std::nullopt;
   // With the grants to be written, for a successor that knows no epoch before them.
--- a/src/regions/decider.h
+++ b/src/regions/decider.h
@@ -132,9 +132,10 @@
   Matrix Ceiling() const;
   std::vector<double> StandbyOf(int zone) const;
   std::vector<double> Demand(const Snapshot& snapshot);
-  bool Allocate(const std::vector<double>& demand, const std::vector<Holders>& holders, Decision* next);
-  bool Grow(const Matrix& wanted, const std::vector<double>& home, const std::vector<double>& most,
+  void Allocate(const std::vector<double>& demand, const std::vector<Holders>& holders, Decision* next);
+  void Grow(const Matrix& wanted, const std::vector<double>& home, const std::vector<double>& most,
             const std::vector<Holders>& holders, Decision* next) const;
+  bool FallsBack(const Decision& other, const Decision& next) const;
   // Gives `want` of each origin to the nearest receivers that have room, and takes it off `room`.
   Matrix Spread(std::vector<double> want, std::vector<double>* room) const;
   void GiveFirstRoom(const Snapshot& snapshot);
@@ -142,7 +143,7 @@
 
   const Rules rules_;
   bool started_ = false;
-  TimePoint written_at_{}, looked_at_{}, began_{};
+  TimePoint written_at_{}, looked_at_{}, began_{}, waits_since_{};
   std::vector<Case> cases_;
   std::vector<std::vector<Pair>> pairs_;  // by origin and receiver
   std::map<std::pair<std::string, std::int64_t>, Life> lives_;
