Test comparisons end to end, and what the control API says of what is off

badgerlab compare gives the same bytes on one thread as on three, and refuses nonsense with 2; /v1/zones and /v1/members without their tables had no test.

--- a/tests/control/control_test.cpp
+++ b/tests/control/control_test.cpp
@@ -206,6 +206,9 @@
 TEST(Control, WhatIsNotACallIsOnePlainError) {
   Rig rig;
   EXPECT_NE(rig.Raw("GET", "/v1/nothing").find(" 404 "), std::string::npos);
+  // What the operator's file does not switch on says so.
+  EXPECT_NE(rig.Raw("GET", "/v1/zones").find("no [regions] table"), std::string::npos);
+  EXPECT_NE(rig.Raw("GET", "/v1/members").find("no [etcd] table"), std::string::npos);
   EXPECT_NE(rig.Raw("POST", "/v1/status").find(" 405 "), std::string::npos);
   for (const char* body : {"{", "[]", R"({"deadline":1})", R"({"deadline_ms":"1"})", R"({"deadline_ms":-1})",
                            R"({"deadline_ms":1e99})"})
--- a/tests/lab/scenarios_test.sh
+++ b/tests/lab/scenarios_test.sh
@@ -21,8 +21,18 @@
   passed=$((passed + 1))
 done
 [ "$passed" -ge 9 ]
+# Comparisons: the same bytes on one thread as on three.
+sed 's/^length = .*/length = "300ms"/' "$scenarios/zone_slow.toml" | sed '/^\[\[happening\]\]/,$d' >"$work/short.toml"
+for threads in 1 3; do
+  "$lab" compare "$work/short.toml" --decide off,together --proxies 2,3 --seeds 2 --threads $threads -o json >"$work/$threads"
+done
+cmp "$work/1" "$work/3"
+[ "$(grep -o '"way":' "$work/1" | wc -l)" = 4 ]
+"$lab" compare "$work/short.toml" --seeds 1 | grep -q '^off, 40 proxies '
+passed=$((passed + 1))
 echo 'length = "5 parsecs"' >"$work/bad.toml"
-for command in "run $work/bad.toml" "check $work/bad.toml" "run $work/none.toml" "run" "fly" "run $scenarios/calm.toml -o xml"; do
+for command in "run $work/bad.toml" "check $work/bad.toml" "run $work/none.toml" "run" "fly" "run $scenarios/calm.toml -o xml" "compare $work/none.toml" \
+  "compare $work/short.toml --decide perhaps" "compare $work/short.toml --proxies 0" "compare $work/short.toml --seeds 0"; do
   code=0
   # shellcheck disable=SC2086
   "$lab" $command >"$work/out" 2>"$work/error" || code=$?
