--- a/include/fordlb/balancer.h
+++ b/include/fordlb/balancer.h
@@ -82,7 +82,8 @@
   TimePoint up_since{};  // zero: long ago
 };
 
-// How an attempt ended. Full, connect failed and moot prove that it never ran.
+// How an attempt ended. Full, connect failed and moot prove that it never ran; moot, that it was never sent,
+// through no fault of the server.
 enum class Outcome { kOk, kError, kFull, kTimeout, kConnectFailed, kReset, kCancelled, kMoot, kUnknown };
 
 // ---- events -------------------------------------------------------------------------------------------
@@ -129,6 +130,7 @@
   RequestId request = 0;
   ServerId server = 0;
   Duration timeout{0};  // 0: until the client gives up
+  TimePoint begin_before = TimePoint::max();  // a repeat whose connection is not up by then must not be sent
 };
 struct Abandon {  // stops waiting for an attempt that is out; it ends as cancelled, or as it already has
   RequestId request = 0;
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -48,7 +48,8 @@
 
 void Run(Config config, const operator_file::OperatorFile& operators, const Environment& environment) {
   boost::asio::io_context io(1);
-  boost::asio::signal_set hangups(io, SIGHUP);  // first: it must not end the program at any moment
+  // First: they must not end the program at any moment, with connections in the listener's queue say.
+  boost::asio::signal_set hangups(io, SIGHUP), signals(io, SIGTERM, SIGINT);
   const NodeClock clock;
   if (operators.control)  // its descriptors come out of the clients' share
     config.max_clients -= std::min(config.max_clients - 1, operators.control->max_connections + 1);
@@ -84,7 +85,8 @@
     proxy.UpdateList(list.snapshot ? ListKind::kFull : ListKind::kDelta, list);
   };
   Discovery discovery(io, config.discovery, std::move(reader), config.settings.must_ask_for_list, config.seed,
-                      told, [&proxy] { proxy.ListFailed(); }, {});
+                      told, [&proxy] { proxy.ListFailed(); },
+                      Discovery::Timing::For(config.settings.must_ask_for_list));
   proxy.OnSubscribe([&discovery] { discovery.Watch(); });
   proxy.UpdateList(ListKind::kCached, known);
   if (!config.settings.must_ask_for_list) discovery.Watch();
@@ -101,7 +103,6 @@
 
   Listener listener(io, clock, proxy, config);
   const auto stop = [&] { listener.Stop([&io] { io.stop(); }); };
-  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
   signals.async_wait([&](const boost::system::error_code& error, int) {
     if (!error) stop();
   });
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -31,12 +31,14 @@
 void Exchange::Gone(TimePoint now, RequestId request, Actions* out) {
   const auto found = table_.find(request);
   if (found == table_.end()) return;
-  Tally& tally = Leave(found);
+  Tally& tally = Leave(found, out);
   ++tally.failed, ++tally.client_left;
   Post(now, fordlb::ClientGone{request}, out);
 }
 
 void Exchange::Ended(TimePoint now, const Send& attempt, Outcome outcome, Actions* out) {
+  const auto found = table_.find(attempt.request);
+  if (found != table_.end() && found->second.attempts == attempt.attempt + 1) found->second.out = false;
   if (outcome == Outcome::kOk) Settle(attempt.request, Ending::kServed, Duration(0), out);
   fordlb::AttemptEnded end;
   end.request = attempt.request;
@@ -111,10 +113,11 @@
 }
 
 void Exchange::Perform(TimePoint now, const fordlb::Dispatch& action, Actions* out) {
-  Send send{action.request, 0, action.server, Duration(0), now};
+  Send send{action.request, 0, action.server, Duration(0), now, action.begin_before};
   const auto found = table_.find(action.request);
   const bool moot =
-      found == table_.end() || found->second.attempts >= max_attempts_ || found->second.due <= now;
+      found == table_.end() || found->second.attempts >= max_attempts_ || found->second.due <= now ||
+      action.begin_before <= now;
   if (found != table_.end()) send.attempt = found->second.attempts++;
   if (moot) {
     fordlb::AttemptEnded end;
@@ -128,6 +131,7 @@
   }
   const Duration left = found->second.due - now;
   send.timeout = action.timeout == Duration(0) ? left : std::min(left, action.timeout);
+  found->second.out = true;
   out->push_back(send);
 }
 
@@ -154,14 +158,15 @@
 void Exchange::Settle(RequestId request, Ending ending, Duration retry_after, Actions* out) {
   const auto found = table_.find(request);
   if (found == table_.end()) return;
-  Tally& tally = Leave(found);
+  Tally& tally = Leave(found, out);
   ++(ending == Ending::kServed ? tally.served : ending == Ending::kRefused ? tally.refused : tally.failed);
   if (ending == Ending::kLastResort) ++tally.last_resort;
   out->push_back(Answer{request, ending, retry_after});
 }
 
-Tally& Exchange::Leave(Table::iterator entry) {
+Tally& Exchange::Leave(Table::iterator entry, Actions* out) {
   Tally& tally = tallies_[static_cast<std::size_t>(entry->second.request_class)];
+  if (entry->second.out) out->push_back(Withdraw{entry->first, entry->second.attempts - 1});
   --tally.open;
   last_resorts_.erase({entry->second.last_resort, entry->first});
   table_.erase(entry);
--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -7,7 +7,7 @@
 // Invariants, at the end of each call: taken = served + refused + failed + open for each class; a request
 // that was taken gets one Answer, before its client's time runs out, unless the client left first, and none
 // after; at most Settings::max_attempts attempts of it are sent, none at or after the moment at which its
-// attempts are due.
+// attempts are due, and none once it is over: one that is out by then is withdrawn.
 #ifndef BADGERBRIDGE_EXCHANGE_EXCHANGE_H_
 #define BADGERBRIDGE_EXCHANGE_EXCHANGE_H_
 
@@ -38,11 +38,17 @@
   fordlb::ServerId server = 0;
   fordlb::Duration timeout{0};  // above 0; it ends as timed out then
   fordlb::TimePoint at{};       // when it was sent
+  // Its first byte may be written only before this; otherwise it ends as could not connect.
+  fordlb::TimePoint begin_before = fordlb::TimePoint::max();
 };
 struct Cancel {  // stop waiting for the newest attempt, which ends as cancelled, or as it already has
   fordlb::RequestId request = 0;
   int attempt = 0;
 };
+struct Withdraw {  // its request is over: unless the attempt has been written whole, it ends as moot
+  fordlb::RequestId request = 0;
+  int attempt = 0;
+};
 enum class Ending {
   kServed,      // with what the attempt whose end was told last brought
   kRefused,     // trying again is harmless
@@ -54,7 +60,7 @@
   Ending ending = Ending::kFailed;
   fordlb::Duration retry_after{0};  // of a refusal; 0: no advice
 };
-using Action = std::variant<Send, Cancel, Answer, fordlb::Subscribe, fordlb::Log>;
+using Action = std::variant<Send, Cancel, Withdraw, Answer, fordlb::Subscribe, fordlb::Log>;
 
 // What became of the requests taken.
 struct Tally {
@@ -94,6 +100,7 @@
   struct Entry {
     int request_class = 0;
     int attempts = 0;
+    bool out = false;                 // the newest of them has not ended
     fordlb::TimePoint due{};          // of its attempts
     fordlb::TimePoint last_resort{};  // then the table answers, whatever the module does
   };
@@ -111,7 +118,7 @@
   void Perform(fordlb::TimePoint now, const fordlb::Subscribe& action, Actions* out);
   void Perform(fordlb::TimePoint now, const fordlb::Log& action, Actions* out);
   void Settle(fordlb::RequestId request, Ending ending, fordlb::Duration retry_after, Actions* out);
-  Tally& Leave(Table::iterator entry);
+  Tally& Leave(Table::iterator entry, Actions* out);
 
   int max_attempts_;
   fordlb::Balancer balancer_;
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -27,7 +27,7 @@
   bool carrying = false;
   std::optional<TimePoint> wake;
   std::unordered_map<RequestId, std::uint64_t> traces;  // its own numbers
-  std::unordered_map<RequestId, std::uint64_t> newest;  // attempt of each
+  std::unordered_map<RequestId, std::uint64_t> newest;  // attempt of each, while it is out
   std::unordered_map<ServerId, TimePoint> told_off;     // since when not to send there
   std::vector<std::uint16_t> idle;                      // connections to each converter
   TimePoint told_until{};                               // lists reach it in order
@@ -44,6 +44,7 @@
   bool told = false;  // its end, to the proxy
   bool at_converter = false;
   bool on_idle = false;  // on a connection that was there
+  TimePoint written{};   // when its connection is up and the request goes out
   bool reset = false;    // its connection breaks once it has been written
 };
 
@@ -167,7 +168,6 @@
       intents_.erase(trace.intent);
       Proxy& proxy = proxies_[trace.proxy];
       if (proxy.life != trace.life || proxy.traces.erase(trace.request) == 0) return;
-      proxy.newest.erase(trace.request);
       proxy.core->Gone(now, trace.request, &proxy.actions);
       return Carry(now, trace.proxy);
     }
@@ -340,6 +340,10 @@
         const auto newest = proxy.newest.find(cancel->request);
         if (newest != proxy.newest.end())
           queue_.At(now, this, kAttemptEnds, newest->second, static_cast<std::uint64_t>(Outcome::kCancelled));
+      } else if (const auto* withdraw = std::get_if<exchange::Withdraw>(&action)) {
+        const auto newest = proxy.newest.find(withdraw->request);
+        if (newest != proxy.newest.end() && now < attempts_.at(newest->second).written)
+          queue_.At(now, this, kAttemptEnds, newest->second, static_cast<std::uint64_t>(Outcome::kMoot));
       } else if (const auto* answer = std::get_if<exchange::Answer>(&action)) {
         const auto traced = proxy.traces.find(answer->request);
         if (traced == proxy.traces.end()) continue;
@@ -347,7 +351,6 @@
                   static_cast<std::uint64_t>(answer->retry_after.count() * 1000) << 2 |
                       static_cast<std::uint64_t>(answer->ending));
         proxy.traces.erase(traced);
-        proxy.newest.erase(answer->request);
       }
     }
   }
@@ -382,7 +385,6 @@
                 off == proxy.told_off.end() ? std::nullopt : std::optional<TimePoint>(off->second),
                 static_cast<std::uint32_t>(converter));
   attempt.on_idle = proxy.idle[converter] > 0;
-  attempts_.emplace(id, attempt);
   const int zone = listed_[converter].zone;
   if (members_) members_->Sent(now, index, id, zone);
   ClassResult& result = result_.classes[static_cast<std::size_t>(trace.request_class)];
@@ -390,7 +392,9 @@
   result.far += model_.RegionOf(zone) != model_.RegionOf(proxy.zone);
   const double latency = Between(proxy.zone, zone);
   const bool cut = Cut(proxy.zone, zone);
-  if (proxy.idle[converter] > 0) {
+  attempt.written = attempt.on_idle ? now : cut ? TimePoint::max() : now + Duration(2 * latency);
+  attempts_.emplace(id, attempt);
+  if (attempt.on_idle) {
     --proxy.idle[converter];
     // A silent link, or a process that has died since: an idle connection does not notice the one, and is
     // reset by the other.
@@ -492,6 +496,7 @@
   }
   if (!attempt.at_converter) Forget(id);
   if (same_life) {
+    proxy.newest.erase(send.request);
     proxy.core->Ended(now, send, outcome, &proxy.actions);
     Carry(now, index);
   }
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -75,6 +75,7 @@
 constexpr Duration kHousekeeping{100};   // rates are sampled this often
 constexpr Duration kLogGap{1000};        // log lines of ejections and returns no closer than this
 constexpr Duration kLongLogGap{10000};   // others
+constexpr Duration kMostAskPause{2000};  // after failed calls: a change must be heard of within 6 s
 constexpr Duration kForgetAfter{60000};  // a server gone for this long loses its state
 constexpr std::size_t kFewEntries = 32;  // of a list: more are put in order all at once
 
@@ -184,6 +185,14 @@
     }
     return sent_.empty() ? sum_ = 0 : sum_;
   }
+  // What was counted then and never sent after all.
+  void TakeBack(TimePoint at, double work) {
+    const auto begin = sent_.begin() + static_cast<std::ptrdiff_t>(first_);
+    const auto found = std::find(begin, sent_.end(), std::pair(at, work));
+    if (found == sent_.end()) return;
+    sum_ -= work;
+    sent_.erase(found);
+  }
   double Peek(TimePoint now, Duration window) const {
     double sum = 0;
     for (auto at = sent_.rbegin(); at != sent_.rend() && now - at->first <= window; ++at) sum += at->second;
@@ -234,7 +243,7 @@
 
 struct Attempt {
   ServerId server = 0;
-  TimePoint sent_at{};
+  TimePoint sent_at{}, sent_before{};  // this one; the last before it at the same server
   bool outstanding = true;
   bool may_have_run = true;
   bool overdue = false;  // no longer counted in flight
@@ -278,6 +287,7 @@
   bool dispatch = false;
   bool refuse = false;
   const Server* group_of = nullptr;  // if set: only to servers that drop this one's repeats
+  TimePoint until = TimePoint::max();  // and begun before they forget
 };
 
 }  // namespace
@@ -529,8 +539,8 @@
     may.refuse = true;
     if (!first_run || c.effect == Effect::kSafe) return may;
     may.refuse = c.effect == Effect::kKeyed && c.group == Group::kAll;
-    if (c.effect == Effect::kUnsafe || now_ - first_run->sent_at > c.window * kWindowMargin)
-      may.dispatch = false;
+    may.until = first_run->sent_at + c.window * kWindowMargin;
+    if (c.effect == Effect::kUnsafe || now_ >= may.until) may.dispatch = false;
     const auto anchor = servers_.find(first_run->server);
     if (anchor == servers_.end()) may.dispatch = false;
     if (may.dispatch) may.group_of = &anchor->second;
@@ -581,7 +591,7 @@
     return ratio > 1 ? ratio : 0.5 + 0.5 * ratio;
   }
 
-  void Send(Request& r, Server& s) {
+  void Send(Request& r, Server& s, TimePoint begin_before) {
     const bool first = r.attempts.empty();
     if (first) {
       retry_tokens_ = std::min(kRetryBurst, retry_tokens_ + kRetryRatio);
@@ -599,14 +609,15 @@
     if (ZoneBucket* const zone = BucketOf(s)) zone->left -= r.work;
     ++s.own_count;
     s.sent.Add(now_, r.work);
-    s.last_sent = now_;
+    const TimePoint sent_before = std::exchange(s.last_sent, now_);
     if (settings_.warm_keys && r.key != 0) s.met[r.key] = now_;
     if (classes_[r.cls].latency.samples >= kFewSamples) wakeups_.emplace(now_ + CountedFor(r), r.id);
     Attempt attempt;
     attempt.server = s.entry.server;
     attempt.sent_at = now_;
+    attempt.sent_before = sent_before;
     r.attempts.push_back(attempt);
-    out_->push_back(Dispatch{r.id, s.entry.server, timeout});
+    out_->push_back(Dispatch{r.id, s.entry.server, timeout, begin_before});
   }
 
   void On(const AttemptEnded& e) {
@@ -638,10 +649,15 @@
   void Learn(const Request& r, const AttemptEnded& e, Server& s) {
     if (!r.attempts[e.attempt].overdue) --in_flight_, --s.counted;
     s.own_work -= r.work;
-    if (e.outcome != Outcome::kTimeout) s.quiet_since = now_;
+    if (e.outcome != Outcome::kTimeout && e.outcome != Outcome::kMoot) s.quiet_since = now_;
     if (--s.own_count == 0) s.own_work = 0;
     const bool ok = e.outcome == Outcome::kOk;
     const Attempt& a = r.attempts[e.attempt];
+    if (e.outcome == Outcome::kMoot) {  // its place in the budgets is free again
+      s.sent.TakeBack(a.sent_at, r.work);
+      if (s.last_sent == a.sent_at) s.last_sent = a.sent_before;
+      if (ZoneBucket* const zone = BucketOf(s)) zone->left += r.work;
+    }
     if (ok || e.outcome == Outcome::kError || e.outcome == Outcome::kFull) {
       s.NoteAnswered(a.sent_at);
       s.silent = false;
@@ -853,7 +869,7 @@
     Server* s = may.dispatch && FitsProxy() ? Pick(r, may) : nullptr;
     if (s) {
       Unhold(r);
-      Send(r, *s);
+      Send(r, *s, may.until);
       return true;
     }
     if (!may.dispatch || now_ >= r.refuse_at) {
@@ -978,8 +994,8 @@
       ask_at_ = now_;  // a new life: nothing is subscribed yet
     } else if (kind == ListKind::kFailed) {
       // Jittered backoff, from a twentieth to a quarter of the time within which the rules want a call.
-      ask_backoff_ =
-          std::min(settings_.must_ask_within / 4, std::max(settings_.must_ask_within / 20, ask_backoff_ * 2));
+      ask_backoff_ = std::min({settings_.must_ask_within / 4, kMostAskPause,
+                               std::max(settings_.must_ask_within / 20, ask_backoff_ * 2)});
       ask_at_ = now_ + ask_backoff_ * (0.5 + 0.5 * random_.Unit());
     } else {
       ask_backoff_ = Duration(0);
--- a/src/node/backend.cpp
+++ b/src/node/backend.cpp
@@ -25,7 +25,6 @@
 constexpr int kMostInterim = 16;        // 1xx answers ahead of the one
 constexpr double kIdleShare = 0.75;  // of the backend's idle limit: retired before the backend may close it
 constexpr double kConnectShare = 0.25;  // of an attempt's time, for its connection to come up
-constexpr double kDrainShare = 0.5;     // of the grace: what is left of it is for bytes under way
 
 }  // namespace
 
@@ -53,14 +52,17 @@
   ServerId server() const { return server_; }
   TimePoint idle_since() const { return idle_since_; }
 
-  void Connect(std::shared_ptr<const Forwarded> request, TimePoint deadline, Done done) {
-    Take(std::move(request), deadline, std::move(done));
+  void Connect(std::shared_ptr<const Forwarded> request, TimePoint deadline, TimePoint begin_before,
+               Done done) {
+    Take(std::move(request), deadline, begin_before, std::move(done));
     state_ = State::kConnecting;
     // Half of the client's time must be left for another backend, or for the client to ask elsewhere.
     const Duration left = deadline - taken_at_;
     SetTimer(taken_at_ + std::min(pool_->limits_.connect_timeout, left * kConnectShare));
     socket_.async_connect(address_, [self = shared_from_this()](beast::error_code error) {
       if (self->state_ != State::kConnecting) return;  // given up meanwhile
+      // Without a descriptor of its own it was never sent, through no fault of the backend.
+      if (error == asio::error::no_descriptors) return self->End(Outcome::kMoot);
       if (error) return self->End(Outcome::kConnectFailed);
       self->socket_.set_option(tcp::no_delay(true), error);
       self->socket_.non_blocking(true, error);
@@ -68,8 +70,9 @@
     });
   }
 
-  void Reuse(std::shared_ptr<const Forwarded> request, TimePoint deadline, Done done) {
-    Take(std::move(request), deadline, std::move(done));
+  void Reuse(std::shared_ptr<const Forwarded> request, TimePoint deadline, TimePoint begin_before,
+             Done done) {
+    Take(std::move(request), deadline, begin_before, std::move(done));
     Write();
   }
 
@@ -99,6 +102,16 @@
     if (state_ == State::kWriting || state_ == State::kWaiting) GiveUp(Outcome::kCancelled);
   }
 
+  // While the write is under way, its handler alone knows whether the last byte went out; until it has, the
+  // backend does not begin.
+  void Withdraw(std::uint64_t number) {
+    if (number != number_) return;
+    if (state_ == State::kConnecting) return End(Outcome::kMoot);
+    if (state_ != State::kWriting) return;
+    unwritten_ = Outcome::kMoot;
+    GiveUp(Outcome::kCancelled);
+  }
+
   void Close() {
     if (state_ == State::kClosed) return;
     if (state_ == State::kIdle) pool_->Unpark(this);
@@ -112,21 +125,29 @@
  private:
   enum class State { kConnecting, kWriting, kWaiting, kIdle, kClosing, kClosed };
 
-  void Take(std::shared_ptr<const Forwarded> request, TimePoint deadline, Done done) {
+  void Take(std::shared_ptr<const Forwarded> request, TimePoint deadline, TimePoint begin_before, Done done) {
     request_ = std::move(request);
+    begin_before_ = begin_before;
+    unwritten_ = Outcome::kConnectFailed;
     number_ = ++pool_->attempts_;
     taken_at_ = pool_->clock_.Now();
     deadline_ = deadline;
     done_ = std::move(done);
   }
 
+  // The one place that decides whether the attempt may still be sent, when its first byte is about to be
+  // written: a connection may have taken its time to come up. That its client is still there is known by its
+  // not having been withdrawn.
+  bool MayBegin(TimePoint now) const {
+    return pool_->Takes(server_, address_) && now < deadline_ && now < begin_before_;
+  }
+
   void Write() {
-    // A connection may have taken its time to come up: what discovery has said since then counts.
-    if (!pool_->MaySend(server_, address_)) return End(Outcome::kConnectFailed);
-    const Duration left = deadline_ - pool_->clock_.Now();
-    if (left <= Duration(0)) return End(Outcome::kConnectFailed);
+    const TimePoint now = pool_->clock_.Now();
+    if (!MayBegin(now)) return End(Outcome::kConnectFailed);
+    const Duration left = deadline_ - now;
     state_ = State::kWriting;
-    SetTimer(deadline_);
+    SetTimer(std::min(deadline_, begin_before_));  // it counts at the backend when its last byte has come
     message_.clear();
     message_.method(request_->method);
     message_.target(request_->target);
@@ -150,10 +171,11 @@
   void OnWritten(beast::error_code error) {
     if (state_ == State::kClosing) {
       // It was given up while this was under way. Only now is it known whether the last byte went out.
-      End(error ? Outcome::kConnectFailed : failure_);
+      End(error ? unwritten_ : failure_);
     } else if (state_ == State::kWriting) {
       if (error) return End(Outcome::kConnectFailed);
       state_ = State::kWaiting;
+      if (begin_before_ < deadline_) SetTimer(deadline_);
     }
   }
 
@@ -301,10 +323,11 @@
   int interim_ = 0;
   bool waiting_ = false, stalls_ = false;
   std::shared_ptr<const Forwarded> request_;
-  TimePoint taken_at_{}, deadline_{}, idle_since_{};
+  TimePoint taken_at_{}, deadline_{}, begin_before_{}, idle_since_{};
   std::uint64_t number_ = 0;  // of the attempt
   Done done_;
-  Outcome failure_ = Outcome::kUnknown;
+  Outcome failure_ = Outcome::kUnknown;           // of an attempt given up, if it was written whole
+  Outcome unwritten_ = Outcome::kConnectFailed;  // and if it was not
 
   friend class Backends;
 };
@@ -314,7 +337,6 @@
   limits.connections = config.max_backend_connections;
   limits.connect_timeout = config.connect_timeout;
   limits.idle_limit = config.idle_limit;
-  limits.drain_grace = config.drain_grace;
   return limits;
 }
 
@@ -326,44 +348,36 @@
 }
 
 void Backends::Update(const EndpointList& list) {
+  // One that is gone is sent nothing more, and nothing of it is needed: attempts that are still out carry what
+  // they need.
   if (list.snapshot) {
     std::unordered_set<ServerId> listed;
     for (const Endpoint& endpoint : list.endpoints) listed.insert(endpoint.entry.server);
-    for (auto& [id, backend] : backends_) {
-      if (!listed.count(id)) SetState(id, backend, ServerState::kGone);
+    for (auto at = backends_.begin(); at != backends_.end();) {
+      if (listed.count(at->first)) {
+        ++at;
+      } else {
+        CloseIdle(at->second);
+        at = backends_.erase(at);
+      }
     }
   }
   for (const Endpoint& endpoint : list.endpoints) {
-    if (endpoint.entry.state == ServerState::kGone && !backends_.count(endpoint.entry.server)) continue;
+    const auto found = backends_.find(endpoint.entry.server);
+    if (endpoint.entry.state == ServerState::kGone) {
+      if (found == backends_.end()) continue;
+      CloseIdle(found->second);
+      backends_.erase(found);
+      continue;
+    }
     Backend& backend = backends_[endpoint.entry.server];
-    if (endpoint.entry.state != ServerState::kGone && endpoint.address != backend.address) {
+    if (endpoint.address != backend.address || endpoint.entry.state != ServerState::kReady)
       CloseIdle(backend);
-      backend.address = endpoint.address;
-    }
-    SetState(endpoint.entry.server, backend, endpoint.entry.state);
-  }
-  // One that is gone, and past its grace, can be sent nothing more: nothing of it is needed. Attempts that
-  // are still out carry what they need. In the order in which they went, so that a change looks at no others.
-  const TimePoint now = clock_.Now();
-  while (!gone_.empty() && now - gone_.front().second >= limits_.drain_grace * kDrainShare) {
-    const auto found = backends_.find(gone_.front().first);
-    gone_.pop_front();
-    if (found != backends_.end() && found->second.state == ServerState::kGone &&
-        now - found->second.told_at >= limits_.drain_grace * kDrainShare)
-      backends_.erase(found);
+    backend.address = endpoint.address;
+    backend.state = endpoint.entry.state;
   }
 }
 
-// One that was never ready here was told of before this node's time.
-void Backends::SetState(ServerId server, Backend& backend, ServerState state) {
-  if (state == ServerState::kGone && backend.state != state) gone_.emplace_back(server, clock_.Now());
-  if (state != ServerState::kReady) {
-    if (backend.state == ServerState::kReady) backend.told_at = clock_.Now();
-    CloseIdle(backend);
-  }
-  backend.state = state;
-}
-
 bool Backends::AnyReady() const {
   return std::any_of(backends_.begin(), backends_.end(),
                      [](const auto& entry) { return entry.second.state == ServerState::kReady; });
@@ -383,18 +397,21 @@
   }
 }
 
-bool Backends::MaySend(ServerId server, const tcp::endpoint& address) const {
+// Nothing of the grace after a drain is used: the word may have been long on its way, and what has not begun
+// can be sent elsewhere.
+bool Backends::Takes(ServerId server, const tcp::endpoint& address) const {
   const auto found = backends_.find(server);
-  if (found == backends_.end() || found->second.address != address) return false;
-  const Backend& backend = found->second;
-  return backend.state == ServerState::kReady ||
-         clock_.Now() - backend.told_at < limits_.drain_grace * kDrainShare;
+  return found != backends_.end() && found->second.address == address &&
+         found->second.state == ServerState::kReady;
 }
 
+// The newest that has rested.
 std::shared_ptr<Backends::Connection> Backends::TakeIdle(Backend& backend) {
-  while (!backend.idle.empty()) {
-    std::shared_ptr<Connection> newest = std::move(backend.idle.back());
-    backend.idle.pop_back();
+  const TimePoint rested = clock_.Now() - limits_.rest;
+  for (std::size_t at = backend.idle.size(); at-- > 0;) {
+    if (backend.idle[at]->idle_since() > rested) continue;
+    std::shared_ptr<Connection> newest = std::move(backend.idle[at]);
+    backend.idle.erase(backend.idle.begin() + static_cast<std::ptrdiff_t>(at));
     if (!newest->Stale()) return newest;
     newest->Close();
   }
@@ -415,7 +432,7 @@
 }
 
 Backends::Ticket Backends::Send(ServerId server, std::shared_ptr<const Forwarded> request, Duration timeout,
-                                Done done) {
+                                TimePoint begin_before, Done done) {
   const TimePoint deadline = clock_.Now() + timeout;
   // Through the queue of the io_context also where it ends at once: the caller is in the midst of its
   // actions.
@@ -424,16 +441,16 @@
                [done = std::move(done), result = std::move(result)]() mutable { done(std::move(result)); });
   };
   const auto found = backends_.find(server);
-  if (found == backends_.end() || !MaySend(server, found->second.address)) {
+  if (found == backends_.end() || !Takes(server, found->second.address)) {
     later({Outcome::kConnectFailed, {}, {}});
     return {};
   }
   std::shared_ptr<Connection> connection = TakeIdle(found->second);
   if (connection) {
-    connection->Reuse(std::move(request), deadline, std::move(later));
+    connection->Reuse(std::move(request), deadline, begin_before, std::move(later));
   } else if (MakeRoom()) {
     connection = std::make_shared<Connection>(*this, server, found->second.address);
-    connection->Connect(std::move(request), deadline, std::move(later));
+    connection->Connect(std::move(request), deadline, begin_before, std::move(later));
   } else {
     later({Outcome::kConnectFailed, {}, {}});
     return {};
@@ -445,6 +462,10 @@
   if (const auto connection = attempt.connection.lock()) connection->Cancel(attempt.number);
 }
 
+void Backends::Withdraw(const Ticket& attempt) {
+  if (const auto connection = attempt.connection.lock()) connection->Withdraw(attempt.number);
+}
+
 void Backends::Park(std::shared_ptr<Connection> connection) {
   const auto found = backends_.find(connection->server_);
   const bool wanted = found != backends_.end() && found->second.state == ServerState::kReady &&
--- a/src/node/backend.h
+++ b/src/node/backend.h
@@ -7,7 +7,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/verb.hpp>
-#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -39,9 +38,11 @@
 
     std::size_t connections = 480;      // in all
     std::size_t idle_per_backend = 16;  // spares; what a burst left over costs both sides
+    // Between two requests on a connection: a backend that answers one twice does so by then, and the second
+    // answer would pass for the next request's.
+    Duration rest{20};
     Duration connect_timeout{250};
     Duration idle_limit{15000};
-    Duration drain_grace{0};
   };
   using Done = std::function<void(AttemptResult)>;
 
@@ -61,11 +62,15 @@
     std::uint64_t number = 0;
   };
 
-  // Makes one attempt; `done` is called exactly once, never from within this call.
-  Ticket Send(ServerId server, std::shared_ptr<const Forwarded> request, Duration timeout, Done done);
+  // Makes one attempt; `done` is called exactly once, never from within this call. Its first byte is written
+  // before `begin_before`, and only to a backend that is ready by then; else it ends as could not connect.
+  Ticket Send(ServerId server, std::shared_ptr<const Forwarded> request, Duration timeout,
+              TimePoint begin_before, Done done);
 
   // Stops waiting for it; it ends as cancelled, unless it has ended already or is known not to have run.
   void Cancel(const Ticket& attempt);
+  // Nobody wants its answer any more: unless it has been written whole, it ends as moot, and never runs.
+  void Withdraw(const Ticket& attempt);
 
   std::size_t open() const { return open_; }
   std::size_t known() const { return backends_.size(); }
@@ -74,17 +79,15 @@
   struct Backend {
     boost::asio::ip::tcp::endpoint address;
     ServerState state = ServerState::kGone;
-    TimePoint told_at{};                            // when it was first said to take no more
     std::vector<std::shared_ptr<Connection>> idle;  // the newest last
   };
 
-  void SetState(ServerId server, Backend& backend, ServerState state);
   void CloseIdle(Backend& backend);
   void CloseUntested(ServerId server, TimePoint since);
   std::shared_ptr<Connection> TakeIdle(Backend& backend);
   bool MakeRoom();
-  // For a connection: whether a request may begin on it now; and its changes of state.
-  bool MaySend(ServerId server, const boost::asio::ip::tcp::endpoint& address) const;
+  // For a connection: whether its backend takes requests; and its changes of state.
+  bool Takes(ServerId server, const boost::asio::ip::tcp::endpoint& address) const;
   void Park(std::shared_ptr<Connection> connection);
   void Unpark(const Connection* connection);
 
@@ -92,7 +95,6 @@
   const NodeClock& clock_;
   Limits limits_;
   std::unordered_map<ServerId, Backend> backends_;
-  std::deque<std::pair<ServerId, TimePoint>> gone_;  // and since when, the longest first
   std::size_t open_ = 0;
   bool keep_loads_ = false;
   std::uint64_t attempts_ = 0;
--- a/src/node/client.cpp
+++ b/src/node/client.cpp
@@ -24,8 +24,10 @@
 constexpr std::size_t kMostBody = 64 << 10;
 constexpr std::size_t kMostHeader = 16 << 10;
 constexpr std::size_t kMostId = 128;
-constexpr std::size_t kPiece = 2048;             // read at once; the buffer that an idle connection keeps
+constexpr std::size_t kPiece = 2048;             // read at once; what an idle connection keeps
 constexpr std::size_t kMostDropped = 256 << 10;  // read of a client that has had its last answer
+constexpr std::chrono::milliseconds kDropPause{2};  // between pieces beyond that, of one that waits for its own
+constexpr std::size_t kMostLingering = 16;  // connections shut, beyond the clients' share of the descriptors
 constexpr std::chrono::milliseconds kSlowRequest{2200};  // a client sends in one go: it will not be whole
 constexpr std::chrono::milliseconds kKept{
     2200};  // between requests: more than the 2 s that clients may count on
@@ -94,12 +96,14 @@
 
 }  // namespace
 
-// One connection. The next request is read while the present one is served: that read also sees the client
-// leave.
+// One connection. A read is always out, also while a request is served, and whatever is done with what it
+// brings: it sees the client leave. A connection ends in one way: it is shut, what still comes is read and
+// dropped until its client closes it, or for a bounded time, and then it is closed. To close it over unread
+// bytes would reset it, and could take an answer away from the client.
 class Listener::Session : public std::enable_shared_from_this<Session> {
  public:
   Session(Listener& listener, tcp::socket socket)
-      : listener_(listener), socket_(std::move(socket)), timer_(listener.io_) {}
+      : listener_(listener), socket_(std::move(socket)), timer_(listener.io_), pause_(listener.io_) {}
 
   void Start(Sessions::iterator at) {
     at_ = at;
@@ -114,7 +118,7 @@
   // close that crosses its next request has the client send that once more, on a new connection; one that
   // crosses the first request of a connection would fail it, so a stranger is never a young one.
   bool Settled(Duration silent) const {
-    return asked_ && !begun_ && !Busy() && listener_.clock_.Now() - since_ >= silent;
+    return asked_ && !begun_ && !Busy() && listener_.clock_.Now() - since_ >= silent && NothingHasCome();
   }
   bool Stranger() const {
     return (!asked_ || begun_) && !Busy() && listener_.clock_.Now() - since_ >= kStranger;
@@ -123,7 +127,9 @@
   void Close() {
     if (closed_) return;
     closed_ = true;
+    if (lingering_) --listener_.lingering_;
     timer_.cancel();
+    pause_.cancel();
     beast::error_code ignored;
     socket_.close(ignored);
     if (serving_ != 0) listener_.proxy_.Gone(std::exchange(serving_, 0));
@@ -134,33 +140,47 @@
   bool Quiet() const { return lingering_ || (serving_ == 0 && !writing_ && !begun_); }
 
   // While this proxy drains: ends a connection between requests, unless its next one has come already. Its
-  // client sends what crosses the close once more, elsewhere. One that has not asked yet has its own
-  // time-out.
-  void CloseIfIdle() {
-    beast::error_code error;
-    if (asked_ && Quiet() && !lingering_ && (socket_.available(error) == 0 || error)) Close();
+  // client sends what crosses the end once more, elsewhere. One that has not asked yet has its own time-out.
+  void EndIfIdle() {
+    if (asked_ && Quiet() && !lingering_ && NothingHasCome()) Linger();
   }
 
   // At the stop: ends a connection between requests. Bytes that have come but are not read yet are a request
   // that was taken; one that is still incomplete after a while was not.
   void WindDown() {
-    if (serving_ != 0 || writing_ || lingering_) return;
-    beast::error_code error;
-    if (!begun_ && (socket_.available(error) == 0 || error)) return Close();
+    if (serving_ != 0 || writing_ || lingering_ || closed_) return;
+    if (!begun_ && NothingHasCome()) return Linger();
+    SetTimer(kLinger);
+  }
+
+  // What still comes is dropped: a request among it is sent once more by its client, which sees the end and no
+  // answer.
+  void Linger() {
+    lingering_ = deaf_ = true;
+    ++listener_.lingering_;
+    dropped_ = 0;
+    beast::error_code ignored;
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
     SetTimer(kLinger);
+    Read();
   }
+  bool lingering() const { return lingering_; }
 
  private:
+  bool NothingHasCome() const {
+    beast::error_code error;
+    return socket_.available(error) == 0 || error;
+  }
   bool Busy() const { return serving_ != 0 || writing_ || lingering_; }
 
   void NextRequest() {
-    if (buffer_.size() == 0 && buffer_.capacity() > kPiece) buffer_.shrink_to_fit();
+    if (buffer_.size() == 0) buffer_.shrink_to_fit();
     parser_.emplace();
     parser_->header_limit(kMostHeader);
     parser_->body_limit(kMostBody);
     parser_->eager(true);
     begun_ = false;
-    if (buffer_.size() > 0) return TakeIn();
+    if (buffer_.size() > 0 || overflowed_) return TakeIn();
     Read();
   }
 
@@ -170,19 +190,26 @@
   }
 
   void Read() {
+    if (reading_ || closed_) return;
     reading_ = true;
-    socket_.async_read_some(buffer_.prepare(std::min(kPiece, buffer_.max_size() - buffer_.size())),
-                            [self = shared_from_this()](beast::error_code error, std::size_t n) {
-                              self->reading_ = false;
-                              self->buffer_.commit(n);
-                              self->OnRead(error);
-                            });
+    const asio::mutable_buffer into = deaf_ ? asio::buffer(listener_.dropped_) : asio::buffer(piece_);
+    socket_.async_read_some(into, [self = shared_from_this()](beast::error_code error, std::size_t n) {
+      self->reading_ = false;
+      self->OnRead(error, n);
+    });
   }
 
-  void OnRead(beast::error_code error) {
+  void OnRead(beast::error_code error, std::size_t n) {
     if (closed_) return;
     if (error) return Close();  // the client has left
-    if (lingering_) return Drop();
+    if (deaf_) return Drop(n);
+    // The parser takes all that it can, so that its own request always fits.
+    if (n > buffer_.max_size() - buffer_.size()) {
+      overflowed_ = deaf_ = true;
+      return Drop(n);
+    }
+    buffer_.commit(asio::buffer_copy(buffer_.prepare(n), asio::buffer(piece_, n)));
+    if (parser_->is_done()) return Read();  // of one after the next
     TakeIn();
   }
 
@@ -194,17 +221,22 @@
         timed_ = false;  // the time between requests is over; the first request counts from the connect
     }
     beast::error_code error;
-    buffer_.consume(parser_->put(buffer_.data(), error));
+    if (buffer_.size() > 0) buffer_.consume(parser_->put(buffer_.data(), error));
     if (error == http::error::need_more) error = {};
     if (!error && !parser_->is_done()) {
-      if (buffer_.size() < buffer_.max_size()) {
-        if (!Busy() && !timed_) SetTimer(kSlowRequest);
+      if (overflowed_) {
+        error = http::error::buffer_overflow;
+      } else if (buffer_.max_size() - buffer_.size() >= kPiece) {
+        if (!Busy() && !timed_) SetTimer(listener_.door_closed_ ? kLinger : kSlowRequest);
         return Read();
+      } else {
+        error = http::error::header_limit;  // of a chunk
       }
-      error = http::error::header_limit;  // of a chunk
     }
     failed_ = error;
+    if (failed_) deaf_ = true;  // what follows is not looked at
     Proceed();
+    Read();
   }
 
   // Acts on a request that has been read, once the one before it has been answered.
@@ -215,6 +247,7 @@
       const beast::error_code error = std::exchange(failed_, {});
       if (error == http::error::body_limit) return Reject({413, "the body is too large\n"});
       if (error == http::error::header_limit) return Reject({431, "the header is too large\n"});
+      if (error == http::error::buffer_overflow) return Reject({400, "too much was sent ahead\n"});
       return Reject({400, "malformed request\n"});
     }
     if (!parser_->is_done()) {
@@ -234,7 +267,8 @@
     // After the request is in the table, so that a client that has left by now is noted there. What comes
     // after a request that was turned away is not looked at.
     if (!closed_ && keep_alive_) return NextRequest();
-    if (!closed_) WatchForClose();
+    deaf_ = true;
+    Read();
   }
 
   // Only what is checked here goes on: a backend closes on what it can't read, whatever else it is doing.
@@ -356,41 +390,24 @@
     if (!closed_ && listener_.door_closed_) WindDown();
   }
 
-  // To close with bytes unread would reset the connection, and could take the answer away from the client.
-  void Linger() {
-    lingering_ = true;
-    beast::error_code ignored;
-    socket_.shutdown(tcp::socket::shutdown_send, ignored);
-    SetTimer(kLinger);
-    if (!reading_) Drop();
-  }
-
-  // What 60 MB of a body that was turned away would cost is not spent on it.
-  void Drop() {
-    reading_ = true;
-    socket_.async_read_some(asio::buffer(listener_.dropped_),
-                            [self = shared_from_this()](beast::error_code error, std::size_t n) {
-                              self->reading_ = false;
-                              if (self->closed_) return;
-                              self->dropped_ += n;
-                              if (error || self->dropped_ > kMostDropped) return self->Close();
-                              self->Drop();
-                            });
-  }
-
-  // While the last request of a connection is served, its client may leave.
-  void WatchForClose() {
-    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](beast::error_code error) {
-      if (error || self->closed_ || self->serving_ == 0) return;
-      beast::error_code ignored;
-      if (self->socket_.available(ignored) == 0) self->Close();
+  // What 60 MB of a body that was turned away would cost is not spent on it. One that is owed an answer is
+  // read on, slowly: its end may stand behind what it sent.
+  void Drop(std::size_t n) {
+    dropped_ += n;
+    if (dropped_ <= kMostDropped) return Read();
+    if (lingering_) return Close();
+    pause_.expires_after(kDropPause);
+    pause_.async_wait([self = shared_from_this()](beast::error_code error) {
+      if (!error) self->Read();
     });
   }
 
   void OnTimer() {
     // Half a request: it will not be whole, and its client is told.
     if (begun_ && !Busy() && !failed_) return Reject({408, "the request is not whole\n"});
-    Close();
+    if (Busy()) return Close();
+    if (!NothingHasCome()) return SetTimer(kSlowRequest);  // its read is about to be told
+    Linger();
   }
 
   void SetTimer(std::chrono::milliseconds wait) {
@@ -410,18 +427,21 @@
 
   Listener& listener_;
   tcp::socket socket_;
-  asio::steady_timer timer_;
+  asio::steady_timer timer_, pause_;
+  std::array<char, kPiece> piece_;
   Sessions::iterator at_;
   beast::flat_buffer buffer_{kMostHeader + kMostBody};
   std::optional<http::request_parser<http::string_body>> parser_;
   http::response<http::string_body> response_;
   beast::error_code failed_;
   TimePoint began_{}, since_{};  // of the request; of the silence, or of the request that is not whole
-  std::size_t dropped_ = 0;
+  std::size_t dropped_ = 0;  // bytes
   RequestId serving_ = 0;
   bool begun_ = false, keep_alive_ = true, writing_ = false, reading_ = false, lingering_ = false,
        closed_ = false;
   bool answered_early_ = false, timed_ = false, asked_ = false;
+  bool deaf_ = false;        // what comes is dropped, from here on
+  bool overflowed_ = false;  // some of what came behind the buffer was
 };
 
 Listener::Listener(asio::io_context& io, const NodeClock& clock, Proxy& proxy, const Config& config)
@@ -448,11 +468,16 @@
 void Listener::Accept() {
   if (accepting_ || door_closed_) return;
   // At the limit the next waits in the kernel's queue until there is room.
-  if (sessions_.size() >= max_clients_ && !MakeRoom()) return AcceptAfter(kRoomPause);
+  if (sessions_.size() - lingering_ >= max_clients_ && !MakeRoom()) return AcceptAfter(kRoomPause);
+  if (sessions_.size() >= max_clients_ + kMostLingering) CloseOldestLingering();
   accepting_ = true;
   acceptor_.async_accept([this](beast::error_code error, tcp::socket socket) {
     accepting_ = false;
-    if (door_closed_) return;
+    if (door_closed_) {
+      // What had been accepted by then counts.
+      if (!error) Admit(std::move(socket))->WindDown();
+      return StopIfDone();
+    }
     if (error == asio::error::operation_aborted) return;
     if (error == asio::error::connection_aborted) return Accept();
     if (error) {
@@ -472,21 +497,30 @@
   });
 }
 
-void Listener::Admit(tcp::socket socket) {
-  sessions_.push_back(std::make_shared<Session>(*this, std::move(socket)));
-  sessions_.back()->Start(std::prev(sessions_.end()));
+std::shared_ptr<Listener::Session> Listener::Admit(tcp::socket socket) {
+  const auto session = std::make_shared<Session>(*this, std::move(socket));
+  sessions_.push_back(session);
+  session->Start(std::prev(sessions_.end()));
+  return session;
 }
 
+// Its descriptor is free when the client closes its side, or has had its time for that.
 bool Listener::MakeRoom() {
-  const auto close_first = [this](auto which) {
+  const auto end_first = [this](auto which) {
     const auto found = std::find_if(sessions_.begin(), sessions_.end(), which);
     if (found == sessions_.end()) return false;
-    std::shared_ptr(*found)->Close();
+    std::shared_ptr(*found)->Linger();
     return true;
   };
-  return close_first([](const auto& session) { return session->Settled(kSettled); }) ||
-         close_first([](const auto& session) { return session->Stranger(); }) ||
-         close_first([](const auto& session) { return session->Settled(Duration(0)); });
+  return end_first([](const auto& session) { return session->Settled(kSettled); }) ||
+         end_first([](const auto& session) { return session->Stranger(); }) ||
+         end_first([](const auto& session) { return session->Settled(Duration(0)); });
+}
+
+void Listener::CloseOldestLingering() {
+  const auto found =
+      std::find_if(sessions_.begin(), sessions_.end(), [](const auto& session) { return session->lingering(); });
+  if (found != sessions_.end()) std::shared_ptr(*found)->Close();
 }
 
 // False if a request with this id is open, or may still be at a backend: two of one id there could not be
@@ -507,17 +541,26 @@
 void Listener::Remove(Sessions::iterator at) {
   sessions_.erase(at);
   if (door_closed_) {
-    if (sessions_.empty() && stopped_) asio::post(io_, std::exchange(stopped_, nullptr));
+    StopIfDone();
   } else {
     asio::post(io_, [this] { Accept(); });
   }
 }
 
+void Listener::StopIfDone() {
+  if (sessions_.empty() && !accepting_ && stopped_) asio::post(io_, std::exchange(stopped_, nullptr));
+}
+
 void Listener::Stop(std::function<void()> stopped) {
   if (stopping_) return;
   stopping_ = true;
   stopped_ = std::move(stopped);
-  timer_.expires_after(kDoorOpen);
+  last_call_ = clock_.Now() + 2 * Duration(kDoorOpen);
+  CloseDoorAfter(kDoorOpen);
+}
+
+void Listener::CloseDoorAfter(std::chrono::milliseconds wait) {
+  timer_.expires_after(wait);
   timer_.async_wait([this](beast::error_code error) {
     if (!error) CloseDoor();
   });
@@ -536,7 +579,7 @@
 
 void Listener::SweepWhileDraining() {
   if (!draining_ || door_closed_) return;
-  for (auto at = sessions_.begin(); at != sessions_.end();) std::shared_ptr(*at++)->CloseIfIdle();
+  for (auto at = sessions_.begin(); at != sessions_.end();) std::shared_ptr(*at++)->EndIfIdle();
   sweep_.expires_after(kDrainSweep);
   sweep_.async_wait([this](beast::error_code error) {
     if (!error) SweepWhileDraining();
@@ -557,10 +600,14 @@
     acceptor_.accept(socket, error);
     if (!error) Admit(std::move(socket));
   }
+  if (error != asio::error::would_block && clock_.Now() < last_call_) {  // no descriptor for one that waits
+    MakeRoom();
+    return CloseDoorAfter(kAcceptPause);
+  }
   door_closed_ = true;
   acceptor_.close(error);
   for (auto at = sessions_.begin(); at != sessions_.end();) std::shared_ptr(*at++)->WindDown();
-  if (sessions_.empty() && stopped_) asio::post(io_, std::exchange(stopped_, nullptr));
+  StopIfDone();
 }
 
 }  // namespace badgerbridge::node
--- a/src/node/client.h
+++ b/src/node/client.h
@@ -55,10 +55,13 @@
 
   void Accept();
   void AcceptAfter(std::chrono::milliseconds wait);
-  void Admit(boost::asio::ip::tcp::socket socket);
+  std::shared_ptr<Session> Admit(boost::asio::ip::tcp::socket socket);
   bool MakeRoom();
+  void CloseOldestLingering();
   bool NoteId(std::string_view id);
+  void CloseDoorAfter(std::chrono::milliseconds wait);
   void CloseDoor();
+  void StopIfDone();
   void SweepWhileDraining();
   void Remove(Sessions::iterator at);
 
@@ -75,7 +78,9 @@
   std::deque<std::pair<TimePoint, std::size_t>> ids_by_age_;
   Sessions sessions_;  // the one that was idle the longest comes first
   bool accepting_ = false, stopping_ = false, door_closed_ = false, draining_ = false;
-  TimePoint last_busy_{};  // when a request was last taken or answered
+  std::size_t lingering_ = 0;  // of the sessions, those that are shut and wait for their client's close
+  TimePoint last_call_{};      // at the stop: what waits for a descriptor by then is not accepted any more
+  TimePoint last_busy_{};      // when a request was last taken or answered
   std::uint64_t rejected_ = 0;
   std::function<void()> stopped_;
 };
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -21,7 +21,7 @@
 namespace json = boost::json;
 namespace {
 
-constexpr std::size_t kMostLine = 4 << 20;  // bytes; far more than the list of any deployment
+constexpr std::size_t kMostList = 4 << 20;  // bytes; far more than the list of any deployment
 constexpr std::size_t kPiece = 16384;       // read at once
 
 int IndexOf(const std::vector<std::string>& names, std::string_view name) {
@@ -151,7 +151,20 @@
       timing_(timing),
       backoff_(timing.first_backoff) {}
 
+Discovery::Timing Discovery::Timing::For(bool ask) {
+  Timing timing;
+  if (ask) {
+    timing.connect = std::chrono::milliseconds(1000);  // a lost first packet is sent again by then
+    timing.answer = std::chrono::milliseconds(2500);
+  }
+  return timing;
+}
+
 void Discovery::Watch() {
+  if (!(ask_ && calling_)) Start();
+}
+
+void Discovery::Start() {
   // Closed, not cancelled: what the old watch has just completed must not lead it to another step.
   if (stream_) stream_->close();
   asio::co_spawn(io_, Run(++turn_), asio::detached);
@@ -161,17 +174,19 @@
   address_ = std::move(address);
   reader_.Restart();
   backoff_ = timing_.first_backoff;
-  Watch();
+  Start();
 }
 
 asio::awaitable<void> Discovery::Run(std::uint64_t turn) {
   while (turn == turn_) {
+    calling_ = true;
     try {
       co_await WatchOnce(turn);
     } catch (const std::exception& error) {
       std::cerr << "discovery: " << error.what() << '\n';
     }
     if (turn != turn_) co_return;
+    calling_ = false;
     stream_.reset();
     if (ask_) {
       on_failed_();
@@ -199,7 +214,7 @@
   http::request<http::empty_body> request(
       http::verb::get, "/v1/endpoints?stream=1&index=" + std::to_string(reader_.index()), 11);
   request.set(http::field::host, "discovery");
-  stream->expires_after(timing_.silence);
+  stream->expires_after(timing_.answer);
   co_await http::async_write(*stream, request, token);
   if (error) co_return;
 
@@ -207,42 +222,44 @@
   http::response_parser<http::buffer_body> parser;
   parser.body_limit(boost::none);  // it lasts; what is kept of it is bounded below
   co_await http::async_read_header(*stream, buffer, parser, token);
-  if (error || parser.get().result() != http::status::ok) co_return;
+  if (error || parser.get().result() != http::status::ok || turn != turn_) co_return;
+  calling_ = false;
 
-  std::string text;
+  // A discovery that is cut off says nothing, and one that hangs may say half of something for ever: what
+  // counts is whole words.
+  stream->expires_after(timing_.silence);
+  JsonValues values(kMostList);
   std::array<char, kPiece> piece;
   while (!parser.is_done()) {
     parser.get().body().data = piece.data();
     parser.get().body().size = piece.size();
-    stream->expires_after(timing_.silence);  // a cut-off discovery says nothing: the silence is all there is
     co_await http::async_read_some(*stream, buffer, parser, token);
     if (error == http::error::need_buffer) error = {};
     if (turn != turn_) co_return;
-    text.append(piece.data(), piece.size() - parser.get().body().size);
-    if (!TakeLines(&text, turn)) co_return;
-    if (error || text.size() > kMostLine) co_return;
+    const bool word = TakeWords(&values, {piece.data(), piece.size() - parser.get().body().size}, turn);
+    if (error || turn != turn_) co_return;
+    if (word) stream->expires_after(timing_.silence);
   }
 }
 
-bool Discovery::TakeLines(std::string* text, std::uint64_t turn) {
-  std::size_t begin = 0;
-  for (std::size_t end; (end = text->find('\n', begin)) != std::string::npos; begin = end + 1) {
-    const std::string_view line(text->data() + begin, end - begin);
-    if (line.find_first_not_of(" \r\t") == std::string_view::npos) continue;  // a heartbeat
+bool Discovery::TakeWords(JsonValues* values, std::string_view bytes, std::uint64_t turn) {
+  bool word = false;
+  while (turn == turn_) {
     EndpointList list;
     try {
-      list = reader_.Read(json::parse(json::string_view(line.data(), line.size())));
+      const JsonValues::Found found = values->Next(&bytes);
+      if (found == JsonValues::Found::kNothing) break;
+      word = true;
+      if (found == JsonValues::Found::kEmptyLine) continue;  // a heartbeat
+      list = reader_.Read(values->Take());
     } catch (const std::exception& error) {
-      std::cerr << "discovery: not a list: " << error.what() << '\n';
-      reader_.Restart();  // what the line held is missing now; only the whole list brings it back
-      return false;
+      reader_.Restart();  // what it held is missing now; only the whole list brings it back
+      throw std::runtime_error(std::string("not a list: ") + error.what());
     }
     backoff_ = timing_.first_backoff;
     on_list_(std::move(list));
-    if (turn != turn_) return false;
   }
-  text->erase(0, begin);
-  return true;
+  return word;
 }
 
 }  // namespace badgerbridge::node
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "node/config.h"
+#include "node/json_values.h"
 
 namespace badgerbridge::node {
 
@@ -69,10 +70,17 @@
 
 class Discovery {
  public:
+  // Whatever goes wrong, a discovery that can be reached is heard again less than 6 s after its last word, and
+  // one that comes back, less than 6 s after it has.
   struct Timing {
-    std::chrono::milliseconds connect{1000};  // a lost first packet is sent again by then
-    std::chrono::milliseconds silence{3500};  // a heartbeat is long overdue: the watch is dead
-    std::chrono::milliseconds first_backoff{50}, most_backoff{1000};
+    // Where lists are pushed discovery is an agent on this machine, and each try is free: what it is told while
+    // no watch is open counts as told at once, so it is tried several times a second. Where they are asked
+    // for, calls wait for their turn at one service, and the module paces them.
+    static Timing For(bool ask);
+
+    std::chrono::milliseconds connect{400}, answer{400};  // for the connection; for the answer to begin
+    std::chrono::milliseconds silence{2800};  // from one word to the next: a heartbeat comes every 2 s
+    std::chrono::milliseconds first_backoff{50}, most_backoff{200};
   };
   using OnList = std::function<void(EndpointList)>;
 
@@ -81,7 +89,8 @@
   Discovery(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint address, ListReader reader, bool ask,
             std::uint64_t seed, OnList on_list, std::function<void()> on_failed, Timing timing);
 
-  // Opens the watch, in place of one that is open.
+  // Opens the watch, in place of one that is open. A call that waits for its answer goes on: another would
+  // only lose its turn. It ends in time by itself.
   void Watch();
 
   // Goes on at another address, from the whole list: versions count for the discovery that gave them.
@@ -91,10 +100,11 @@
   const boost::asio::ip::tcp::endpoint& address() const { return address_; }
 
  private:
+  void Start();
   boost::asio::awaitable<void> Run(std::uint64_t turn);
   boost::asio::awaitable<void> WatchOnce(std::uint64_t turn);
-  // Takes complete lines off the text; false if one is no list.
-  bool TakeLines(std::string* text, std::uint64_t turn);
+  // What has come; true if a whole word was in it, a list or a heartbeat.
+  bool TakeWords(JsonValues* values, std::string_view bytes, std::uint64_t turn);
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::endpoint address_;
@@ -106,7 +116,8 @@
   Timing timing_;
   std::chrono::milliseconds backoff_;
   std::shared_ptr<boost::beast::tcp_stream> stream_;
-  std::uint64_t turn_ = 0;  // of the newest Watch(): an older one ends at its next step
+  std::uint64_t turn_ = 0;  // of the newest Start(): an older one ends at its next step
+  bool calling_ = false;    // its answer has not begun
 };
 
 }  // namespace badgerbridge::node
--- a/src/node/proxy.cpp
+++ b/src/node/proxy.cpp
@@ -109,17 +109,23 @@
   // Its client has left since the table said so: it never runs.
   if (found == entries_.end()) return table_.Ended(clock_.Now(), action, Outcome::kMoot, &actions_);
   if (watcher_) watcher_->Sent(clock_.Now(), action, found->second.submit);
-  found->second.newest =
-      backends_.Send(action.server, found->second.forwarded, action.timeout,
+  out_[action.request] =
+      backends_.Send(action.server, found->second.forwarded, action.timeout, action.begin_before,
                      [this, action](AttemptResult result) { OnAttemptEnd(action, std::move(result)); });
 }
 
 void Proxy::Perform(const exchange::Cancel& action) {
-  const auto found = entries_.find(action.request);
-  if (found != entries_.end()) backends_.Cancel(found->second.newest);
+  const auto found = out_.find(action.request);
+  if (found != out_.end()) backends_.Cancel(found->second);
+}
+
+void Proxy::Perform(const exchange::Withdraw& action) {
+  const auto found = out_.find(action.request);
+  if (found != out_.end()) backends_.Withdraw(found->second);
 }
 
 void Proxy::OnAttemptEnd(const exchange::Send& attempt, AttemptResult result) {
+  out_.erase(attempt.request);
   if (watcher_) watcher_->Ended(clock_.Now(), attempt, result.outcome, result.load);
   const auto found = entries_.find(attempt.request);
   if (found != entries_.end() && result.outcome == Outcome::kOk) {
--- a/src/node/proxy.h
+++ b/src/node/proxy.h
@@ -76,7 +76,6 @@
   struct Entry {
     std::shared_ptr<const Forwarded> forwarded;
     OnAnswer answer;
-    Backends::Ticket newest;  // of its attempts
     Answer brought;           // by the attempt that served it
     Submit submit;            // for the watcher
   };
@@ -84,6 +83,7 @@
   void Turn();
   void Perform(const exchange::Send& action);
   void Perform(const exchange::Cancel& action);
+  void Perform(const exchange::Withdraw& action);
   void Perform(const exchange::Answer& action);
   void Perform(const fordlb::Subscribe& action);
   void Perform(const fordlb::Log& action);
@@ -96,6 +96,8 @@
   std::function<void()> subscribe_;
   TrafficWatcher* watcher_ = nullptr;
   std::unordered_map<RequestId, Entry> entries_;  // of those that are open
+  // Of the attempts that are out, one a request; one may outlast its request.
+  std::unordered_map<RequestId, Backends::Ticket> out_;
   TimePoint list_at_{};
   exchange::Exchange::Actions actions_;  // said by the table, and not begun yet
   bool performing_ = false;
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -785,6 +785,53 @@
   EXPECT_LE(sent, 2) << "nothing is known of warm servers: one mean request a window";
 }
 
+// What was withdrawn before it was sent has used up nothing of the budget, however often that is told; what the
+// server turned away has.
+TEST(ColdStart, WhatWasNeverSentIsGivenBackOnce) {
+  for (const Outcome outcome : {Outcome::kMoot, Outcome::kFull}) {
+    Settings s = Usual();
+    s.max_attempts = 1;
+    Rig rig(s);
+    rig.List({Entry(1), Entry(2), Entry(3, 0, 0, ServerState::kReady, rig.now)});
+    const auto cold = [&] { return rig.View(3); };
+    RequestId at_cold = 0;
+    for (int i = 0; at_cold == 0; ++i) {
+      ASSERT_LT(i, 1000);
+      rig.Tick(10);
+      const RequestId id = next_id++;
+      const auto server = rig.Ask(id, 2, 10, 900);
+      if (server == 3u) {
+        at_cold = id;
+      } else if (server) {
+        rig.End(id, 0, *server, Outcome::kOk, 5);
+      }
+    }
+    EXPECT_EQ(cold().cold_sent, 10);
+    EXPECT_EQ(cold().in_flight, 1);
+    for (int twice = 0; twice < 2; ++twice) {
+      rig.End(at_cold, 0, 3, outcome);
+      EXPECT_EQ(cold().cold_sent, outcome == Outcome::kMoot ? 0 : 10);
+      EXPECT_EQ(cold().in_flight, 0);
+    }
+  }
+}
+
+// Where the budget is less than one request, one is sent in a while: one that was never sent is none.
+TEST(ColdStart, WhatWasNeverSentDoesNotTakeTheTurnOfAnother) {
+  const auto sent_of_two = [](Outcome first) {
+    Settings s = Usual();
+    s.max_attempts = 1;
+    Rig rig(s);
+    rig.List({Entry(1, 0, 0, ServerState::kReady, rig.now - 1)});
+    const RequestId id = next_id++;
+    const auto server = rig.Ask(id, 2, 10, 900);
+    if (server) rig.End(id, 0, *server, first);
+    return server.has_value() + rig.Ask(next_id++, 2, 10, 900).has_value();
+  };
+  EXPECT_EQ(sent_of_two(Outcome::kFull), 1);
+  EXPECT_EQ(sent_of_two(Outcome::kMoot), 2);
+}
+
 TEST(ColdStart, AProxyThatKnowsNothingStillServes) {
   Rig rig;
   rig.List({Entry(1, 0, 0, ServerState::kReady, 99999), Entry(2, 0, 0, ServerState::kReady, 99999)});
--- a/tests/exchange/exchange_test.cpp
+++ b/tests/exchange/exchange_test.cpp
@@ -32,7 +32,7 @@
     int request_class = 0;
     TimePoint due{};
     int attempts = 0, answers = 0;
-    bool out = false, may_have_run = false, left = false;
+    bool out = false, may_have_run = false, left = false, withdrawn = false;
     int cell = 0;
     TimePoint first_run{};
     Ending ending = Ending::kFailed;
@@ -42,7 +42,7 @@
   std::map<RequestId, Request> requests;
   std::vector<Send> out;  // attempts that have not ended
   std::map<ServerId, ServerEntry> servers;
-  int sends = 0, again = 0, cancels = 0, answers = 0;
+  int sends = 0, again = 0, cancels = 0, answers = 0, withdrawn = 0;
 
   RequestId Take(int request_class, double patience, std::uint64_t key = 0) {
     Submit submit;
@@ -72,7 +72,7 @@
     const Send send = out.at(which);
     out.erase(out.begin() + static_cast<std::ptrdiff_t>(which));
     Request& request = requests.at(send.request);
-    request.out = false;
+    request.out = request.withdrawn = false;
     if (MayHaveRun(outcome) && !request.may_have_run) {
       request.may_have_run = true;
       request.first_run = send.at;
@@ -115,6 +115,8 @@
     EXPECT_EQ(open, exchange_.open());
     for (const auto& [id, request] : requests) {
       EXPECT_EQ(exchange_.IsOpen(id), request.answers == 0 && !request.left) << id;
+      // What is out of a request that is over has been withdrawn, once, and of no other.
+      EXPECT_EQ(request.out && !exchange_.IsOpen(id), request.withdrawn) << id;
       if (exchange_.IsOpen(id)) {
         EXPECT_LT(now, request.due.time_since_epoch().count()) << id;
       }
@@ -137,8 +139,13 @@
       if (settings.effect == Effect::kKeyed) {
         EXPECT_EQ(servers.at(send.server).cell, request.cell);
         EXPECT_LE(At(now) - request.first_run, settings.window);
+        EXPECT_LE(send.begin_before - request.first_run, settings.window);
+        EXPECT_LT(At(now), send.begin_before);
       }
     }
+    if (!request.may_have_run || settings.effect == Effect::kSafe) {
+      EXPECT_EQ(send.begin_before, TimePoint::max());
+    }
     request.out = true;
     ++request.attempts;
     out.push_back(send);
@@ -147,6 +154,14 @@
     ++cancels;
     EXPECT_EQ(cancel.attempt, requests.at(cancel.request).attempts - 1);
   }
+  void Note(const Withdraw& withdraw) {
+    ++withdrawn;
+    Request& request = requests.at(withdraw.request);
+    EXPECT_TRUE(request.out);
+    EXPECT_FALSE(request.withdrawn);
+    EXPECT_EQ(withdraw.attempt, request.attempts - 1);
+    request.withdrawn = true;
+  }
   void Note(const Answer& answer) {
     ++answers;
     Request& request = requests.at(answer.request);
@@ -231,6 +246,60 @@
   EXPECT_EQ(world.answers, 1);
 }
 
+// Its connection may still be coming up: the client has left by then, or has its answer.
+TEST(Exchange, WhatIsOutOfARequestThatIsOverIsWithdrawn) {
+  for (const int request_class : {0, 1, 2}) {
+    World world(Usual(), 3);
+    Fill(world, 1);
+    const RequestId left = world.Take(request_class, 500);
+    const RequestId kept = world.Take(request_class, 500);
+    const RequestId late = world.Take(request_class, 200);
+    ASSERT_EQ(world.out.size(), 3u);
+    world.Gone(left);
+    EXPECT_EQ(world.withdrawn, 1);
+    world.Gone(left);
+    world.End(0, Outcome::kMoot);
+    EXPECT_EQ(world.withdrawn, 1);
+    world.now += 200 - kLastResortMargin.count();
+    world.Wake();
+    EXPECT_EQ(world.requests[late].ending, Ending::kLastResort);
+    EXPECT_EQ(world.withdrawn, 2);
+    world.End(0, Outcome::kOk);
+    EXPECT_EQ(world.requests[kept].ending, Ending::kServed);
+    EXPECT_EQ(world.withdrawn, 2) << "what has ended is not withdrawn";
+  }
+}
+
+// A keyed repeat says until when it may begin, which is within the time that its group remembers the key from
+// the first attempt that may have run; where there is no such time, it is not sent.
+TEST(Exchange, AKeyedRepeatMustBeginWithinTheWindow) {
+  for (const double window : {0.0, 100.0, 10000.0}) {
+    Settings settings = Usual();
+    settings.classes[1].window = Duration(window);
+    World world(settings, 3);
+    world.List(Entry(1, 0, 0));
+    world.List(Entry(2, 0, 0));
+    const RequestId id = world.Take(1, 30000);
+    ASSERT_EQ(world.out.size(), 1u);
+    const TimePoint first = world.out[0].at;
+    EXPECT_EQ(world.out[0].begin_before, TimePoint::max()) << "nothing may have run yet";
+    if (window > 0) world.now += 20;
+    world.End(0, Outcome::kReset);
+    if (window == 0) {
+      EXPECT_TRUE(world.out.empty());
+      EXPECT_EQ(world.requests[id].answers, 1);
+      continue;
+    }
+    ASSERT_EQ(world.out.size(), 1u);
+    EXPECT_GT(world.out[0].begin_before, At(world.now));
+    EXPECT_LT(world.out[0].begin_before, first + Duration(window));
+    world.now += window;  // its connection takes its time
+    world.End(0, Outcome::kConnectFailed);
+    EXPECT_TRUE(world.out.empty());
+    EXPECT_EQ(world.requests[id].answers, 1);
+  }
+}
+
 TEST(Exchange, WithNoTimeLeftNothingIsSent) {
   for (const double patience : {0.0, 1.0, 4.9, 5.0}) {
     World world(Usual(), 3);
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -70,6 +70,13 @@
   void List(std::vector<ServerEntry> entries, ListKind kind = ListKind::kFull) {
     Do(ListUpdate{kind, std::move(entries)});
   }
+  // What the module holds of a server.
+  ServerView View(ServerId id) const {
+    for (const ServerView& view : balancer_.Inspect()) {
+      if (view.entry.server == id) return view;
+    }
+    return {};
+  }
   void Servers(int n) {
     std::vector<ServerEntry> entries;
     for (int i = 1; i <= n; ++i) entries.push_back(Entry(static_cast<ServerId>(i)));
--- a/tests/node_backend_test.cpp
+++ b/tests/node_backend_test.cpp
@@ -3,6 +3,9 @@
 // Attempts and the pool, against scripted backends: each outcome of the protocol's table, once each.
 #include <gtest/gtest.h>
 
+#include <sys/resource.h>
+#include <unistd.h>
+
 #include "node_harness.h"
 
 namespace badgerbridge::node::testing {
@@ -20,8 +23,13 @@
     list.endpoints.back().address = std::move(address);
     return list;
   }
-  void Use(Peer& peer, Backends::Limits limits = {}) {
-    limits.drain_grace = Duration(500);
+  // Connections need no rest, but where a test is about that.
+  static Backends::Limits WithoutRest() {
+    Backends::Limits limits;
+    limits.rest = Duration(0);
+    return limits;
+  }
+  void Use(Peer& peer, Backends::Limits limits = WithoutRest()) {
     backends = std::make_unique<Backends>(io, clock, limits);
     backends->Update(ListOf(peer.endpoint()));
   }
@@ -31,7 +39,7 @@
     request->target = "/preview?obj=1";
     request->correlation_id = "c" + std::to_string(sent++);
     request->body = body;
-    backends->Send(kServer, request, timeout, [this](AttemptResult result) { results.push_back(result); });
+    backends->Send(kServer, request, timeout, TimePoint::max(), [this](AttemptResult result) { results.push_back(result); });
   }
   // The one result of one more attempt.
   Outcome Outcome1(Duration timeout = Duration(10000)) {
@@ -247,11 +255,10 @@
     list.endpoints[1].entry.server = id;
     backends->Update(list);
   }
-  const TimePoint told = clock.Now();
-  while (clock.Now() - told < Duration(300)) {
-  }
-  backends->Update(ListOf(peer.endpoint()));
   EXPECT_EQ(backends->known(), 2u);
+  backends->Update(ListOf(peer.endpoint(), ServerState::kGone));
+  EXPECT_EQ(backends->known(), 1u);
+  backends->Update(ListOf(peer.endpoint()));
   EXPECT_EQ(Outcome1(), Outcome::kOk);
 }
 
@@ -325,7 +332,7 @@
   auto request = std::make_shared<Forwarded>();
   request->target = "/preview";
   const auto send = [&] {
-    return backends->Send(kServer, request, Duration(10000),
+    return backends->Send(kServer, request, Duration(10000), TimePoint::max(),
                           [this](AttemptResult result) { results.push_back(result); });
   };
   const Backends::Ticket first = send();
@@ -388,6 +395,145 @@
   EXPECT_GE((clock.Now() - idle_since).count(), 140);
 }
 
+// A backend that answers twice does so some milliseconds apart: the second answer must not become that of the
+// next request, whose connection was taken up in between.
+TEST_F(BackendTest, ASecondAnswerIsNotTheNextRequests) {
+  Peer peer(io, [&](Wire& wire) {
+    if (peer.requests.size() == 1) return wire.Send(Reply(200, "first"));
+    wire.Send(Reply(200, "second"));
+  });
+  Backends::Limits limits;
+  Use(peer, limits);
+  EXPECT_EQ(Outcome1(), Outcome::kOk);
+  Send();  // at once
+  peer.wires[0]->Send(Reply(200, "first"));
+  ASSERT_TRUE(RunUntil(io, [&] { return results.size() == 2; }));
+  EXPECT_EQ(results[1].outcome, Outcome::kOk);
+  EXPECT_EQ(results[1].body, "second");
+  EXPECT_EQ(peer.wires.size(), 2u);
+  ASSERT_TRUE(RunUntil(io, [&] { return backends->open() == 1; })) << "what has spoken unasked is closed";
+  const TimePoint rested = clock.Now() + limits.rest;
+  ASSERT_TRUE(RunUntil(io, [&] { return clock.Now() > rested; }));
+  EXPECT_EQ(Outcome1(), Outcome::kOk);
+  EXPECT_EQ(peer.wires.size(), 2u) << "what has rested is used again";
+}
+
+// Which connection it goes out on is no matter; what counts is the moment of its first byte.
+TEST_F(BackendTest, WhatIsTooLateIsNotBegun) {
+  Peer peer(io, [](Wire& wire) { wire.Send(Reply(200)); });
+  Use(peer);
+  auto request = std::make_shared<Forwarded>();
+  request->target = "/preview";
+  const auto send = [&](TimePoint begin_before) {
+    backends->Send(kServer, request, Duration(10000), begin_before,
+                   [this](AttemptResult result) { results.push_back(result); });
+  };
+  // It passes while the connection comes up, as on a busy machine.
+  const TimePoint passed = clock.Now() + Duration(5);
+  send(passed);
+  while (clock.Now() < passed) {
+  }
+  ASSERT_TRUE(RunUntil(io, [&] { return results.size() == 1; }));
+  EXPECT_EQ(results[0].outcome, Outcome::kConnectFailed);
+  RunReady(io);
+  EXPECT_TRUE(peer.requests.empty());
+  EXPECT_EQ(Outcome1(), Outcome::kOk);
+  send(clock.Now());  // on the idle connection
+  ASSERT_TRUE(RunUntil(io, [&] { return results.size() == 3; }));
+  EXPECT_EQ(results[2].outcome, Outcome::kConnectFailed);
+  RunReady(io);
+  EXPECT_EQ(peer.requests.size(), 1u);
+}
+
+// It counts at the backend when its last byte has come: a repeat that is half written when its window is over
+// must not be whole later.
+TEST_F(BackendTest, WhatIsHalfWrittenWhenItsTimeIsOverNeverRuns) {
+  tcp::acceptor slow(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  slow.set_option(asio::socket_base::receive_buffer_size(4096));
+  tcp::socket accepted(io);
+  slow.async_accept(accepted, [](ErrorCode) {});
+  backends = std::make_unique<Backends>(io, clock, Backends::Limits{});
+  backends->Update(ListOf(slow.local_endpoint()));
+  auto request = std::make_shared<Forwarded>();
+  request->method = boost::beast::http::verb::post;
+  request->target = "/convert";
+  request->body = std::string(32 << 20, 'x');
+  const TimePoint began = clock.Now();
+  backends->Send(kServer, request, Duration(60000), clock.Now() + Duration(100),
+                 [this](AttemptResult result) { results.push_back(result); });
+  ASSERT_TRUE(RunUntil(io, [&] { return !results.empty(); }));
+  EXPECT_EQ(results[0].outcome, Outcome::kConnectFailed);
+  EXPECT_GE((clock.Now() - began).count(), 100);
+}
+
+// Its request is over: what has not begun never runs, and is no failure of the backend; what is half written
+// is cut off; what has been written whole goes on.
+TEST_F(BackendTest, AWithdrawnAttemptIsNotBegun) {
+  std::vector<Wire*> waiting;
+  Peer peer(io, [&](Wire& wire) { waiting.push_back(&wire); });
+  Use(peer);
+  auto request = std::make_shared<Forwarded>();
+  request->target = "/preview";
+  const auto send = [&] {
+    return backends->Send(kServer, request, Duration(10000), TimePoint::max(),
+                          [this](AttemptResult result) { results.push_back(result); });
+  };
+  const Backends::Ticket connecting = send();
+  backends->Withdraw(connecting);
+  backends->Withdraw(connecting);
+  EXPECT_TRUE(results.empty()) << "ended from within the call";
+  ASSERT_TRUE(RunUntil(io, [&] { return results.size() == 1; }));
+  EXPECT_EQ(results[0].outcome, Outcome::kMoot);
+  RunReady(io);
+  EXPECT_TRUE(peer.requests.empty());
+  EXPECT_EQ(backends->open(), 0u);
+
+  const Backends::Ticket whole = send();
+  ASSERT_TRUE(RunUntil(io, [&] { return waiting.size() == 1; }));
+  backends->Withdraw(whole);
+  RunReady(io);
+  EXPECT_EQ(results.size(), 1u);
+  waiting[0]->Send(Reply(200));
+  ASSERT_TRUE(RunUntil(io, [&] { return results.size() == 2; }));
+  EXPECT_EQ(results[1].outcome, Outcome::kOk);
+
+  backends->Withdraw(whole);  // it has ended, and its connection has another
+  const Backends::Ticket other = send();
+  ASSERT_TRUE(RunUntil(io, [&] { return waiting.size() == 2; }));
+  backends->Withdraw(whole);
+  waiting[1]->Send(Reply(200));
+  ASSERT_TRUE(RunUntil(io, [&] { return results.size() == 3; }));
+  EXPECT_EQ(results[2].outcome, Outcome::kOk);
+
+  request->method = boost::beast::http::verb::post;
+  request->body = std::string(32 << 20, 'x');
+  peer.wires.back()->on_data = [](Wire&) {};
+  const Backends::Ticket half = send();
+  backends->Withdraw(half);
+  ASSERT_TRUE(RunUntil(io, [&] { return results.size() == 4; }));
+  EXPECT_EQ(results[3].outcome, Outcome::kMoot);
+  EXPECT_EQ(backends->open(), 0u);
+}
+
+// A proxy that has no descriptor left can't connect to any backend; none of them is to blame.
+TEST_F(BackendTest, WithoutADescriptorOfItsOwnNoBackendIsToBlame) {
+  Peer peer(io, [](Wire& wire) { wire.Send(Reply(200)); });
+  Use(peer);
+  std::vector<int> taken;
+  rlimit before;
+  ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &before), 0);
+  rlimit few = before;
+  few.rlim_cur = 64;
+  ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &few), 0);
+  for (int fd; (fd = dup(0)) >= 0;) taken.push_back(fd);
+  const Outcome outcome = Outcome1();
+  for (const int fd : taken) close(fd);
+  ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &before), 0);
+  EXPECT_EQ(outcome, Outcome::kMoot);
+  EXPECT_EQ(backends->open(), 0u);
+  EXPECT_EQ(Outcome1(), Outcome::kOk);
+}
+
 TEST_F(BackendTest, FewSparesAreKept) {
   std::vector<Wire*> waiting;
   Peer peer(io, [&](Wire& wire) { waiting.push_back(&wire); });
@@ -413,7 +559,7 @@
   backends->Update(other);
   auto request = std::make_shared<Forwarded>();
   request->target = "/";
-  backends->Send(kServer + 1, request, Duration(10000), [&](AttemptResult) {});
+  backends->Send(kServer + 1, request, Duration(10000), TimePoint::max(), [&](AttemptResult) {});
   ASSERT_TRUE(RunUntil(io, [&] { return second.requests.size() == 1; }));
   EXPECT_EQ(backends->open(), 1u);
   EXPECT_EQ(Outcome1(), Outcome::kConnectFailed);
@@ -431,18 +577,14 @@
   EXPECT_EQ(old_place.requests.size(), 1u);
 }
 
-// The drain counts from what was told to the first byte: an attempt dispatched before may come too late.
+// A drain counts from the first byte, and from when discovery's agent had it, which may be long before it is
+// read here: nothing is begun from then on, whatever the grace allows.
 TEST_F(BackendTest, NothingIsBegunOnADrainedBackend) {
   Peer peer(io, [](Wire& wire) { wire.Send(Reply(200)); });
   Backends::Limits limits;
   Use(peer, limits);
   Send();
-  // Told while the connection comes up, and longer ago than the grace allows: the node is stopped in between,
-  // as a busy machine would.
-  backends->Update(ListOf(peer.endpoint(), ServerState::kDraining));
-  const TimePoint told = clock.Now();
-  while (clock.Now() - told < Duration(300)) {
-  }
+  backends->Update(ListOf(peer.endpoint(), ServerState::kDraining));  // told while the connection comes up
   ASSERT_TRUE(RunUntil(io, [&] { return !results.empty(); }));
   EXPECT_EQ(results[0].outcome, Outcome::kConnectFailed);
   EXPECT_EQ(Outcome1(), Outcome::kConnectFailed);
