--- a/include/fordlb/balancer.h
+++ b/include/fordlb/balancer.h
@@ -129,7 +129,7 @@
 struct Dispatch {
   RequestId request = 0;
   ServerId server = 0;
-  Duration timeout{0};  // 0: until the client gives up
+  Duration timeout{0};                        // 0: until the client gives up
   TimePoint begin_before = TimePoint::max();  // a repeat whose connection is not up by then must not be sent
 };
 struct Abandon {  // stops waiting for an attempt that is out; it ends as cancelled, or as it already has
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -115,9 +115,8 @@
 void Exchange::Perform(TimePoint now, const fordlb::Dispatch& action, Actions* out) {
   Send send{action.request, 0, action.server, Duration(0), now, action.begin_before};
   const auto found = table_.find(action.request);
-  const bool moot =
-      found == table_.end() || found->second.attempts >= max_attempts_ || found->second.due <= now ||
-      action.begin_before <= now;
+  const bool moot = found == table_.end() || found->second.attempts >= max_attempts_ ||
+                    found->second.due <= now || action.begin_before <= now;
   if (found != table_.end()) send.attempt = found->second.attempts++;
   if (moot) {
     fordlb::AttemptEnded end;
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -286,7 +286,7 @@
 struct Permission {
   bool dispatch = false;
   bool refuse = false;
-  const Server* group_of = nullptr;  // if set: only to servers that drop this one's repeats
+  const Server* group_of = nullptr;    // if set: only to servers that drop this one's repeats
   TimePoint until = TimePoint::max();  // and begun before they forget
 };
 
--- a/src/node/backend.cpp
+++ b/src/node/backend.cpp
@@ -60,7 +60,7 @@
     // Half of the client's time must be left for another backend, or for the client to ask elsewhere.
     const Duration left = deadline - taken_at_;
     SetTimer(taken_at_ + std::min(pool_->limits_.connect_timeout, left * kConnectShare));
-    socket_.async_connect(address_, [self = shared_from_this()](beast::error_code error) {
+    pool_->dial_(socket_, address_, [self = shared_from_this()](beast::error_code error) {
       if (self->state_ != State::kConnecting) return;  // given up meanwhile
       // Without a descriptor of its own it was never sent, through no fault of the backend.
       if (error == asio::error::no_descriptors) return self->End(Outcome::kMoot);
@@ -153,6 +153,7 @@
     const TimePoint now = pool_->clock_.Now();
     if (!MayBegin(now)) return End(Outcome::kConnectFailed);
     const Duration left = deadline_ - now;
+    if (pool_->on_begin_) pool_->on_begin_(server_, *request_);
     state_ = State::kWriting;
     SetTimer(std::min(deadline_, begin_before_));  // it counts at the backend when its last byte has come
     message_.clear();
@@ -334,7 +335,7 @@
   TimePoint taken_at_{}, deadline_{}, begin_before_{}, idle_since_{};
   std::uint64_t number_ = 0;  // of the attempt
   Done done_;
-  Outcome failure_ = Outcome::kUnknown;           // of an attempt given up, if it was written whole
+  Outcome failure_ = Outcome::kUnknown;          // of an attempt given up, if it was written whole
   Outcome unwritten_ = Outcome::kConnectFailed;  // and if it was not
 
   friend class Backends;
@@ -349,15 +350,19 @@
 }
 
 Backends::Backends(asio::io_context& io, const NodeClock& clock, Limits limits)
-    : io_(io), clock_(clock), limits_(limits) {}
+    : io_(io), clock_(clock), limits_(limits) {
+  dial_ = [](tcp::socket& socket, const tcp::endpoint& address, auto ended) {
+    socket.async_connect(address, std::move(ended));
+  };
+}
 
 Backends::~Backends() {
   for (auto& [id, backend] : backends_) CloseIdle(backend);
 }
 
 void Backends::Update(const EndpointList& list) {
-  // One that is gone is sent nothing more, and nothing of it is needed: attempts that are still out carry what
-  // they need.
+  // One that is gone is sent nothing more, and nothing of it is needed: attempts that are still out carry
+  // what they need.
   if (list.snapshot) {
     std::unordered_set<ServerId> listed;
     for (const Endpoint& endpoint : list.endpoints) listed.insert(endpoint.entry.server);
--- a/src/node/backend.h
+++ b/src/node/backend.h
@@ -46,6 +46,9 @@
     Duration idle_limit{15000};
   };
   using Done = std::function<void(AttemptResult)>;
+  // Brings a connection up, and says once how that ended; never from within the call.
+  using Dial = std::function<void(boost::asio::ip::tcp::socket&, const boost::asio::ip::tcp::endpoint&,
+                                  std::function<void(boost::system::error_code)>)>;
 
   Backends(boost::asio::io_context& io, const NodeClock& clock, Limits limits);
   ~Backends();
@@ -56,6 +59,10 @@
   // From here on results bring what an answer says of its backend's load.
   void KeepLoads() { keep_loads_ = true; }
   bool AnyReady() const;
+  // In place of the system's connect.
+  void DialBy(Dial dial) { dial_ = std::move(dial); }
+  // Called where the first byte of an attempt is about to be written.
+  void OnBegin(std::function<void(ServerId, const Forwarded&)> look_on) { on_begin_ = std::move(look_on); }
 
   class Connection;
   struct Ticket {  // an attempt
@@ -99,6 +106,8 @@
   TimePoint unasked_at_{};  // when one last said something that nobody had asked for
   std::size_t open_ = 0;
   bool keep_loads_ = false;
+  Dial dial_;
+  std::function<void(ServerId, const Forwarded&)> on_begin_;
   std::uint64_t attempts_ = 0;
 };
 
--- a/src/node/client.cpp
+++ b/src/node/client.cpp
@@ -26,18 +26,17 @@
 constexpr std::size_t kMostId = 128;
 constexpr std::size_t kPiece = 2048;             // read at once; what an idle connection keeps
 constexpr std::size_t kMostDropped = 256 << 10;  // read of a client that has had its last answer
-constexpr std::chrono::milliseconds kDropPause{2};  // between pieces beyond that, of one that waits for its own
+constexpr std::chrono::milliseconds kDropPause{
+    2};                                     // between pieces beyond that, of one that waits for its own
 constexpr std::size_t kMostLingering = 16;  // connections shut, beyond the clients' share of the descriptors
 constexpr std::chrono::milliseconds kSlowRequest{2200};  // a client sends in one go: it will not be whole
 constexpr std::chrono::milliseconds kKept{
     2200};  // between requests: more than the 2 s that clients may count on
 constexpr std::chrono::milliseconds kSlowReader{5000};  // longer than any deadline
-constexpr std::chrono::milliseconds kLinger{1000};      // for the client to read an answer and close
 constexpr Duration kSettled{2000};  // without a request: nothing is on its way from this client
 constexpr Duration kStranger{250};  // connected, and no request whole: no usual client
 constexpr std::chrono::milliseconds kRoomPause{25};    // at the limit, until one of those is due
 constexpr std::chrono::milliseconds kAcceptPause{20};  // after a failure for want of descriptors
-constexpr std::chrono::milliseconds kDoorOpen{500};    // after SIGTERM: the front goes on for up to 0.4 s
 constexpr std::chrono::milliseconds kDrainSweep{100};  // between two looks for idle connections
 constexpr Duration kRemembered{10000};                 // an id; longer than any request and its attempts
 constexpr std::size_t kMostRemembered = 32 << 10;      // ids
@@ -150,18 +149,18 @@
   void WindDown() {
     if (serving_ != 0 || writing_ || lingering_ || closed_) return;
     if (!begun_ && NothingHasCome()) return Linger();
-    SetTimer(kLinger);
+    SetTimer(listener_.timing_.linger);
   }
 
-  // What still comes is dropped: a request among it is sent once more by its client, which sees the end and no
-  // answer.
+  // What still comes is dropped: a request among it is sent once more by its client, which sees the end and
+  // no answer.
   void Linger() {
     lingering_ = deaf_ = true;
     ++listener_.lingering_;
     dropped_ = 0;
     beast::error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
-    SetTimer(kLinger);
+    SetTimer(listener_.timing_.linger);
     Read();
   }
   bool lingering() const { return lingering_; }
@@ -179,7 +178,7 @@
     parser_->header_limit(kMostHeader);
     parser_->body_limit(kMostBody);
     parser_->eager(true);
-    begun_ = false;
+    begun_ = next_whole_ = false;
     if (buffer_.size() > 0 || overflowed_) return TakeIn();
     Read();
   }
@@ -227,7 +226,7 @@
       if (overflowed_) {
         error = http::error::buffer_overflow;
       } else if (buffer_.max_size() - buffer_.size() >= kPiece) {
-        if (!Busy() && !timed_) SetTimer(listener_.door_closed_ ? kLinger : kSlowRequest);
+        if (!Busy() && !timed_) SetTimer(listener_.door_closed_ ? listener_.timing_.linger : kSlowRequest);
         return Read();
       } else {
         error = http::error::header_limit;  // of a chunk
@@ -241,7 +240,10 @@
 
   // Acts on a request that has been read, once the one before it has been answered.
   void Proceed() {
-    if (serving_ != 0 || writing_) return;
+    if (serving_ != 0 || writing_) {
+      next_whole_ = !failed_ && parser_->is_done();
+      return;
+    }
     StopTimer();
     if (failed_) {
       const beast::error_code error = std::exchange(failed_, {});
@@ -366,7 +368,8 @@
       response_.set(http::field::retry_after, text);
     }
     response_.body() = std::move(answer.body);
-    response_.keep_alive(keep_alive_ && !listener_.stopping_ && !listener_.draining_);
+    const bool ending = listener_.stopping_ || listener_.draining_;
+    response_.keep_alive(keep_alive_ && (!ending || AnotherHasCome()));
     response_.prepare_payload();
     writing_ = true;
     SetTimer(kSlowReader);  // a client that does not read must not hold the connection for ever
@@ -375,6 +378,12 @@
     });
   }
 
+  // Behind the request that is answered now. One that was read whole has been taken.
+  bool AnotherHasCome() const {
+    return next_whole_ ||
+           (!listener_.door_closed_ && (!NothingHasCome() || (answered_early_ && buffer_.size() > 0)));
+  }
+
   void OnWritten(beast::error_code error) {
     if (closed_) return;
     writing_ = false;
@@ -435,21 +444,24 @@
   http::response<http::string_body> response_;
   beast::error_code failed_;
   TimePoint began_{}, since_{};  // of the request; of the silence, or of the request that is not whole
-  std::size_t dropped_ = 0;  // bytes
+  std::size_t dropped_ = 0;      // bytes
   RequestId serving_ = 0;
   bool begun_ = false, keep_alive_ = true, writing_ = false, reading_ = false, lingering_ = false,
        closed_ = false;
   bool answered_early_ = false, timed_ = false, asked_ = false;
+  bool next_whole_ = false;  // the next request is there and waits for its turn
   bool deaf_ = false;        // what comes is dropped, from here on
   bool overflowed_ = false;  // some of what came behind the buffer was
 };
 
-Listener::Listener(asio::io_context& io, const NodeClock& clock, Proxy& proxy, const Config& config)
+Listener::Listener(asio::io_context& io, const NodeClock& clock, Proxy& proxy, const Config& config,
+                   ListenerTiming timing)
     : io_(io),
       clock_(clock),
       proxy_(proxy),
       class_settings_(config.settings.classes),
       max_clients_(config.max_clients),
+      timing_(timing),
       acceptor_(io),
       timer_(io),
       pause_(io),
@@ -518,8 +530,8 @@
 }
 
 void Listener::CloseOldestLingering() {
-  const auto found =
-      std::find_if(sessions_.begin(), sessions_.end(), [](const auto& session) { return session->lingering(); });
+  const auto found = std::find_if(sessions_.begin(), sessions_.end(),
+                                  [](const auto& session) { return session->lingering(); });
   if (found != sessions_.end()) std::shared_ptr(*found)->Close();
 }
 
@@ -555,8 +567,8 @@
   if (stopping_) return;
   stopping_ = true;
   stopped_ = std::move(stopped);
-  last_call_ = clock_.Now() + 2 * Duration(kDoorOpen);
-  CloseDoorAfter(kDoorOpen);
+  last_call_ = clock_.Now() + 2 * Duration(timing_.door_open);
+  CloseDoorAfter(timing_.door_open);
 }
 
 void Listener::CloseDoorAfter(std::chrono::milliseconds wait) {
--- a/src/node/client.h
+++ b/src/node/client.h
@@ -24,10 +24,16 @@
 
 namespace badgerbridge::node {
 
+struct ListenerTiming {
+  std::chrono::milliseconds door_open{500};  // after SIGTERM: the front goes on for up to 0.4 s
+  std::chrono::milliseconds linger{1000};    // for a client to read an answer and close
+};
+
 class Listener {
  public:
   // Binds and listens; throws boost::system::system_error if it can't.
-  Listener(boost::asio::io_context& io, const NodeClock& clock, Proxy& proxy, const Config& config);
+  Listener(boost::asio::io_context& io, const NodeClock& clock, Proxy& proxy, const Config& config,
+           ListenerTiming timing = {});
   ~Listener();
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
@@ -71,6 +77,7 @@
   std::vector<ClassSettings> class_settings_;
   std::unordered_map<std::string, int> classes_, tenants_;
   std::size_t max_clients_;
+  ListenerTiming timing_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer timer_, pause_, sweep_;  // of the stop; before the next accept; of the drain
   std::array<char, 16384> dropped_;                  // what is read only to be dropped, of all sessions
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -70,12 +70,12 @@
 
 class Discovery {
  public:
-  // Whatever goes wrong, a discovery that can be reached is heard again less than 6 s after its last word, and
-  // one that comes back, less than 6 s after it has.
+  // Whatever goes wrong, a discovery that can be reached is heard again less than 6 s after its last word,
+  // and one that comes back, less than 6 s after it has.
   struct Timing {
-    // Where lists are pushed discovery is an agent on this machine, and each try is free: what it is told while
-    // no watch is open counts as told at once, so it is tried several times a second. Where they are asked
-    // for, calls wait for their turn at one service, and the module paces them.
+    // Where lists are pushed discovery is an agent on this machine, and each try is free: what it is told
+    // while no watch is open counts as told at once, so it is tried several times a second. Where they are
+    // asked for, calls wait for their turn at one service, and the module paces them.
     static Timing For(bool ask);
 
     std::chrono::milliseconds connect{400}, answer{400};  // for the connection; for the answer to begin
--- a/src/node/proxy.h
+++ b/src/node/proxy.h
@@ -76,8 +76,8 @@
   struct Entry {
     std::shared_ptr<const Forwarded> forwarded;
     OnAnswer answer;
-    Answer brought;           // by the attempt that served it
-    Submit submit;            // for the watcher
+    Answer brought;  // by the attempt that served it
+    Submit submit;   // for the watcher
   };
 
   void Turn();
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -785,8 +785,8 @@
   EXPECT_LE(sent, 2) << "nothing is known of warm servers: one mean request a window";
 }
 
-// What was withdrawn before it was sent has used up nothing of the budget, however often that is told; what the
-// server turned away has.
+// What was withdrawn before it was sent has used up nothing of the budget, however often that is told; what
+// the server turned away has.
 TEST(ColdStart, WhatWasNeverSentIsGivenBackOnce) {
   for (const Outcome outcome : {Outcome::kMoot, Outcome::kFull}) {
     Settings s = Usual();
--- a/tests/node_backend_test.cpp
+++ b/tests/node_backend_test.cpp
@@ -2,7 +2,6 @@
 //
 // Attempts and the pool, against scripted backends: each outcome of the protocol's table, once each.
 #include <gtest/gtest.h>
-
 #include <sys/resource.h>
 #include <unistd.h>
 
@@ -39,7 +38,8 @@
     request->target = "/preview?obj=1";
     request->correlation_id = "c" + std::to_string(sent++);
     request->body = body;
-    backends->Send(kServer, request, timeout, TimePoint::max(), [this](AttemptResult result) { results.push_back(result); });
+    backends->Send(kServer, request, timeout, TimePoint::max(),
+                   [this](AttemptResult result) { results.push_back(result); });
   }
   // The one result of one more attempt.
   Outcome Outcome1(Duration timeout = Duration(10000)) {
--- a/tests/node_harness.h
+++ b/tests/node_harness.h
@@ -64,6 +64,7 @@
   tcp::socket socket;
   std::array<char, 65536> piece;
   std::string in;
+  std::string owed;     // whose answer a script has put off
   bool closed = false;  // by the other side
   std::function<void(Wire&)> on_data;
 };
