--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -14,6 +14,8 @@
 #include <tuple>
 #include <unordered_set>
 
+#include "node/clock.h"
+
 namespace badgerbridge::node {
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -155,7 +157,8 @@
   Timing timing;
   if (ask) {
     timing.connect = std::chrono::milliseconds(1000);  // a lost first packet is sent again by then
-    timing.answer = std::chrono::milliseconds(2500);
+    timing.answer = std::chrono::milliseconds(2200);   // it turns a call away that has waited for 2 s
+    timing.silence = std::chrono::milliseconds(2400);  // the module paces the next call
   }
   return timing;
 }
@@ -227,18 +230,21 @@
 
   // A discovery that is cut off says nothing, and one that hangs may say half of something for ever: what
   // counts is whole words.
-  stream->expires_after(timing_.silence);
+  const auto next_word = [&] { return NodeClock::Steady::now() + timing_.silence; };
+  auto word_by = next_word();
   JsonValues values(kMostList);
   std::array<char, kPiece> piece;
   while (!parser.is_done()) {
     parser.get().body().data = piece.data();
     parser.get().body().size = piece.size();
+    stream->expires_at(word_by);
     co_await http::async_read_some(*stream, buffer, parser, token);
     if (error == http::error::need_buffer) error = {};
     if (turn != turn_) co_return;
     const bool word = TakeWords(&values, {piece.data(), piece.size() - parser.get().body().size}, turn);
     if (error || turn != turn_) co_return;
-    if (word) stream->expires_after(timing_.silence);
+    if (word) word_by = next_word();
+    if (NodeClock::Steady::now() >= word_by) co_return;  // what comes all the time never times out
   }
 }
 
--- a/tests/node_harness.h
+++ b/tests/node_harness.h
@@ -39,6 +39,7 @@
     socket.async_read_some(asio::buffer(piece), [self = shared_from_this()](ErrorCode error, std::size_t n) {
       if (error) {
         self->closed = true;
+        self->end = error;
         return;
       }
       self->in.append(self->piece.data(), n);
@@ -66,6 +67,7 @@
   std::string in;
   std::string owed;     // whose answer a script has put off
   bool closed = false;  // by the other side
+  ErrorCode end;        // and how: eof, or by a reset
   std::function<void(Wire&)> on_data;
 };
 
@@ -87,8 +89,9 @@
  public:
   using Script = std::function<void(Wire&)>;
 
-  Peer(asio::io_context& io, Script script)
-      : acceptor_(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)), script_(std::move(script)) {
+  Peer(asio::io_context& io, Script script,
+       const tcp::endpoint& place = tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+      : acceptor_(io, place), script_(std::move(script)) {
     Accept();
   }
   tcp::endpoint endpoint() const { return acceptor_.local_endpoint(); }
--- a/tests/node_process_test.cpp
+++ b/tests/node_process_test.cpp
@@ -282,6 +282,126 @@
   EXPECT_EQ(program.Wait(), 0) << program.Log();
 }
 
+// Whenever it comes: it ends by the signal before it listens, and with 0 from then on; a client whose request
+// it had taken has its answer.
+TEST(NodeProcess, TermAtAnyMomentOfItsStart) {
+  asio::io_context io;
+  Peer backend(io, [](Wire& wire) { wire.Send(Reply(200, "ok")); });
+  const std::string address = OwnAddress();
+  int answered = 0;
+  for (int i = 0; i < 12; ++i) {
+    Program program(ConfigJson({EndpointJson("a", backend.address())}), address);
+    std::shared_ptr<Wire> client;
+    if (i % 2 == 0) {
+      client = ConnectTo(io, address);  // the first moment at which it takes anything
+      ASSERT_TRUE(client);
+      client->Send(Get("c" + std::to_string(i)));
+    } else {
+      std::this_thread::sleep_for(std::chrono::milliseconds(i / 2));
+    }
+    program.Signal(SIGTERM);
+    if (client) {
+      ASSERT_TRUE(RunUntil(io, [&] { return client->closed || client->in.ends_with("ok"); }))
+          << program.Log();
+      EXPECT_TRUE(client->in.ends_with("ok")) << i;
+      answered += client->in.ends_with("ok");
+      client->Close();
+      EXPECT_EQ(program.Wait(), 0) << program.Log();
+    } else {
+      program.Wait();  // it does end
+    }
+  }
+  EXPECT_EQ(answered, 6);
+}
+
+// Each signal twice, and the other one in between; before the first list, with discovery out of reach.
+TEST(NodeProcess, SignalsDuringTheStopChangeNothing) {
+  asio::io_context io;
+  Wire* waiting = nullptr;
+  Peer backend(io, [&](Wire& wire) { waiting = &wire; });
+  const std::string address = OwnAddress();
+  Program program(ConfigJson({EndpointJson("a", backend.address())}), address);
+  const auto client = ConnectTo(io, address);
+  ASSERT_TRUE(client);
+  client->Send(Get("c1"));
+  ASSERT_TRUE(RunUntil(io, [&] { return waiting != nullptr; }));
+  for (const int signal : {SIGTERM, SIGHUP, SIGTERM, SIGINT, SIGHUP}) program.Signal(signal);
+  // In the half second of the door:
+  const auto late = ConnectTo(io, address);
+  ASSERT_TRUE(late);
+  waiting->Send(Reply(200, "ok"));
+  ASSERT_TRUE(RunUntil(io, [&] { return client->in.ends_with("ok"); }));
+  waiting = nullptr;
+  late->Send(Get("c2"));
+  ASSERT_TRUE(RunUntil(io, [&] { return waiting != nullptr || late->closed; }));
+  ASSERT_NE(waiting, nullptr);
+  program.Signal(SIGTERM);
+  waiting->Send(Reply(200, "ok"));
+  ASSERT_TRUE(RunUntil(io, [&] { return late->in.ends_with("ok"); }));
+  client->Close();
+  late->Close();
+  EXPECT_EQ(program.Wait(), 0) << program.Log();
+}
+
+// Idle clients fill their share of the descriptors while discovery is down, and more of them wait in the
+// queue. When it is back, there is one for it, and those to backends have theirs; so it is in the stop.
+TEST(NodeProcess, AtTheLimitOfDescriptorsDiscoveryAndBackendsHaveTheirs) {
+  asio::io_context io;
+  std::vector<std::unique_ptr<Peer>> backends;
+  std::vector<std::string> endpoints;
+  std::set<std::string> asked;
+  std::vector<Wire*> waiting;
+  for (int i = 0; i < 7; ++i) {
+    backends.push_back(std::make_unique<Peer>(io, [&](Wire& wire) { waiting.push_back(&wire); }));
+    endpoints.push_back(EndpointJson("s-" + std::to_string(i), backends.back()->address()));
+  }
+  std::unique_ptr<Peer> discovery;
+  tcp::endpoint place;
+  {
+    tcp::acceptor free(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    place = free.local_endpoint();
+  }
+  const std::string address = OwnAddress();
+  std::string config = ConfigJson({endpoints[0]}, 64);
+  config.replace(config.find("127.0.0.1:1\""), 12, "127.0.0.1:" + std::to_string(place.port()) + "\"");
+  Program program(config, address, 64);
+  std::vector<std::shared_ptr<Wire>> crowd;
+  for (int i = 0; i < 40; ++i) {
+    crowd.push_back(ConnectTo(io, address));
+    ASSERT_TRUE(crowd.back());
+    crowd.back()->Send("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n");
+  }
+  ASSERT_TRUE(RunUntil(io, [&] { return crowd[0]->in.find("200") != std::string::npos; }));
+  discovery = std::make_unique<Peer>(
+      io,
+      [&](Wire& wire) {
+        const std::string list = ListJson(50, true, endpoints) + "\n";
+        char size[16];
+        std::snprintf(size, sizeof size, "%zx\r\n", list.size());
+        wire.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + (size + list) + "\r\n");
+      },
+      place);
+  ASSERT_TRUE(RunUntil(io, [&] { return !discovery->requests.empty(); })) << program.Log();
+  std::vector<std::shared_ptr<Wire>> clients;
+  for (int i = 0; i < 6; ++i) {
+    clients.push_back(ConnectTo(io, address));
+    clients.back()->Send(Get("c" + std::to_string(i)));
+    ASSERT_TRUE(RunUntil(io, [&] { return waiting.size() == clients.size(); })) << i << program.Log();
+  }
+  program.Signal(SIGTERM);
+  const auto late = ConnectTo(io, address);
+  late->Send(Get("late"));
+  ASSERT_TRUE(RunUntil(io, [&] { return waiting.size() == 7; })) << program.Log();
+  for (Wire* wire : waiting) wire->Send(Reply(200, "ok"));
+  clients.push_back(late);
+  for (const auto& client : clients) {
+    ASSERT_TRUE(RunUntil(io, [&] { return client->in.ends_with("ok"); })) << program.Log();
+    client->Close();
+  }
+  for (const auto& client : crowd) client->Close();
+  EXPECT_EQ(program.Wait(), 0) << program.Log();
+}
+
 // Out of descriptors, accept fails over and over: the node must neither end nor stay deaf.
 TEST(NodeProcess, SurvivesRunningOutOfDescriptors) {
   asio::io_context io;
--- a/tests/node_proxy_test.cpp
+++ b/tests/node_proxy_test.cpp
@@ -291,6 +291,178 @@
   EXPECT_EQ(backend.wires.size(), 1u);
 }
 
+// Whatever else its connection holds: the next request whole or half, more than can be held, what is no
+// request, or what comes behind its last request.
+TEST_F(NodeTest, AClientThatLeavesIsSeenBehindWhateverItSentAhead) {
+  std::string many;
+  for (int i = 0; i < 1000; ++i) many += Get("m" + std::to_string(i));
+  const std::pair<const char*, std::string> cases[] = {
+      {"nothing", ""},
+      {"the next request", Get("n1")},
+      {"two more", Get("n1") + Get("n2")},
+      {"half a request", "GET /pre"},
+      {"more than can be held", many},
+      {"far more", many + many + many + many},
+      {"what is no request", std::string("\x16\x03\x01 no request\r\n\r\n", 18)},
+      {"a body that is too large", "POST /certify HTTP/1.1\r\nContent-Length: 99999999\r\n\r\nxx"},
+  };
+  for (const bool last : {false, true}) {
+    for (const auto& [what, ahead] : cases) {
+      SCOPED_TRACE(std::string(what) + (last ? ", behind the last" : ""));
+      std::vector<Wire*> waiting;
+      Peer backend(io, [&](Wire& wire) { waiting.push_back(&wire); });
+      Start({EndpointJson("a", backend.address())});
+      const auto client = node->Connect();
+      client->Send(Get("c1", last ? "Connection: close\r\n" : ""));
+      ASSERT_TRUE(RunUntil(io, [&] { return waiting.size() == 1; }));
+      for (std::size_t at = 0; at < ahead.size(); at += 8192) {
+        client->Send(ahead.substr(at, 8192));
+        RunReady(io);
+      }
+      const TimePoint left = node->clock.Now();
+      client->Close();
+      ASSERT_TRUE(RunUntil(io, [&] { return node->proxy.open() == 0; }));
+      EXPECT_EQ(node->proxy.tallies()[0].client_left, 1u) << "not by its time running out";
+      EXPECT_EQ(node->listener.connections(), 0u);
+      EXPECT_LT((node->clock.Now() - left).count(), 500);
+      RunReady(io);
+      EXPECT_EQ(backend.requests.size(), 1u) << "what it sent ahead is not sent on";
+    }
+  }
+}
+
+// All that was taken is answered in its order; then the client is told.
+TEST_F(NodeTest, WhoSendsFarAheadIsAnsweredAndTold) {
+  std::vector<Wire*> waiting;
+  Peer backend(io, [&](Wire& wire) {
+    if (backend.requests.size() == 1) return waiting.push_back(&wire);
+    wire.Send(Reply(200, "ok"));
+  });
+  Start({EndpointJson("a", backend.address())});
+  const auto client = node->Connect();
+  std::string many;
+  for (int i = 0; i < 1000; ++i) many += Get("m" + std::to_string(i));
+  ASSERT_GT(many.size(), 120000u);
+  for (std::size_t at = 0; at < many.size(); at += 8192) {
+    client->Send(many.substr(at, 8192));
+    RunReady(io);
+  }
+  waiting[0]->Send(Reply(200, "ok"));
+  ASSERT_TRUE(RunUntil(io, [&] { return client->closed; }));
+  EXPECT_EQ(client->end, asio::error::eof);
+  EXPECT_EQ(Count(client->in, "HTTP/1.1 400 "), 1);
+  EXPECT_EQ(client->in.find("HTTP/1.1 ", client->in.find("HTTP/1.1 400 ") + 1), std::string::npos);
+  EXPECT_EQ(static_cast<std::size_t>(Count(client->in, "HTTP/1.1 200 ")), backend.requests.size());
+  EXPECT_GT(backend.requests.size(), 300u);
+}
+
+// The connection to a backend takes a second to come up. Its client leaves meanwhile: nothing is written, and
+// the backend is not held to have failed.
+TEST_F(NodeTest, NothingIsSentForAClientThatLeftWhileItsConnectionCameUp) {
+  Peer backend(io, [](Wire& wire) { wire.Send(Reply(200, "ok")); });
+  Start({EndpointJson("a", backend.address(), "Ready", 1, 0)});
+  std::vector<std::function<void()>> dials;
+  node->backends.DialBy([&](tcp::socket& socket, const tcp::endpoint& address, auto ended) {
+    dials.push_back([&socket, address, ended] { socket.async_connect(address, ended); });
+  });
+  const auto client = node->Connect();
+  client->Send(Post("c1", "certify", "END"));
+  ASSERT_TRUE(RunUntil(io, [&] { return dials.size() == 1; }));
+  client->Close();
+  ASSERT_TRUE(RunUntil(io, [&] { return node->proxy.open() == 0; }));
+  RunReady(io);
+  EXPECT_EQ(node->backends.open(), 0u) << "the dial is given up";
+  for (const ServerView& view : node->proxy.Inspect()) {
+    EXPECT_EQ(view.in_flight, 0);
+    EXPECT_EQ(view.work_in_flight, 0);
+    EXPECT_FALSE(view.ejected);
+  }
+  EXPECT_TRUE(backend.requests.empty());
+}
+
+// A client that uses a connection in the very moment of its end sees the end and no reset; what it sent is
+// dropped, never sent on.
+TEST_F(NodeTest, WhatCrossesTheEndOfAConnectionIsDroppedAndNotReset) {
+  for (const bool stop : {true, false}) {
+    SCOPED_TRACE(stop ? "stop" : "drain");
+    Peer backend(io, [](Wire& wire) { wire.Send(Reply(200, "ok")); });
+    Start({EndpointJson("a", backend.address())});
+    const auto client = node->Connect();
+    client->Send(Get("c1"));
+    ASSERT_TRUE(RunUntil(io, [&] { return Served(client->in); }));
+    bool stopped = false;
+    if (stop) {
+      node->listener.Stop([&] { stopped = true; });
+    } else {
+      node->listener.Drain();
+    }
+    ASSERT_TRUE(RunUntil(io, [&] { return client->closed; }));
+    EXPECT_EQ(client->end, asio::error::eof);
+    client->Send(Get("c2"));  // it has not seen the end yet, say
+    EXPECT_EQ(node->listener.connections(), 1u) << "until the client has closed it, for a bounded time";
+    RunReady(io);
+    ErrorCode error;
+    char byte;
+    client->socket.non_blocking(true);
+    client->socket.read_some(asio::buffer(&byte, 1), error);
+    EXPECT_EQ(error, asio::error::eof) << "no reset";
+    client->Close();
+    ASSERT_TRUE(RunUntil(io, [&] { return node->listener.connections() == 0; }));
+    EXPECT_EQ(backend.requests.size(), 1u);
+    if (stop) {
+      EXPECT_TRUE(RunUntil(io, [&] { return stopped; }));
+    }
+  }
+}
+
+// One that rests and never closes its side holds a connection that has ended for a bounded time, and the stop
+// for no longer.
+TEST_F(NodeTest, AClientThatNeverClosesDoesNotHoldUpTheStop) {
+  Start({});
+  const auto resting = node->Connect();
+  RunReady(io);
+  bool stopped = false;
+  const TimePoint began = node->clock.Now();
+  node->listener.Stop([&] { stopped = true; });
+  ASSERT_TRUE(RunUntil(io, [&] { return stopped; }));
+  EXPECT_GE((node->clock.Now() - began).count(), 1450) << "the door, and a second for the client";
+  EXPECT_EQ(node->listener.connections(), 0u);
+}
+
+// What was taken while the door is open is answered, also behind another request.
+TEST_F(NodeTest, AtTheStopARequestBehindAnotherIsAnsweredToo) {
+  std::vector<Wire*> waiting;
+  Peer backend(io, [&](Wire& wire) { waiting.push_back(&wire); });
+  Start({EndpointJson("a", backend.address())});
+  const auto client = node->Connect();
+  client->Send(Get("c1") + Get("c2"));
+  ASSERT_TRUE(RunUntil(io, [&] { return waiting.size() == 1; }));
+  bool stopped = false;
+  node->listener.Stop([&] { stopped = true; });
+  waiting[0]->Send(Reply(200, "one"));
+  ASSERT_TRUE(RunUntil(io, [&] { return waiting.size() == 2; }));
+  waiting[1]->Send(Reply(200, "two"));
+  ASSERT_TRUE(RunUntil(io, [&] { return client->closed; }));
+  EXPECT_EQ(Count(client->in, "HTTP/1.1 200 "), 2);
+  EXPECT_EQ(Count(client->in, "Connection: close"), 1);
+  client->Close();
+  EXPECT_TRUE(RunUntil(io, [&] { return stopped; }));
+}
+
+// At the limit, connections that have ended and wait for their clients have places of their own, a bounded
+// number of them.
+TEST_F(NodeTest, ThoseWhoNeverCloseDoNotKeepOthersOut) {
+  Peer backend(io, [](Wire& wire) { wire.Send(Reply(200)); });
+  Start({EndpointJson("a", backend.address())}, 64);  // room for 8 clients
+  std::vector<std::shared_ptr<Wire>> clients;
+  for (int i = 0; i < 60; ++i) {
+    clients.push_back(node->Connect());
+    clients.back()->Send(Get("c" + std::to_string(i)));
+    ASSERT_TRUE(RunUntil(io, [&] { return Served(clients.back()->in); })) << i;
+    EXPECT_LE(node->listener.connections(), 8u + 16u);
+  }
+}
+
 TEST_F(NodeTest, AnAnswerAfterTheEndIsNotPassedOn) {
   Wire* waiting = nullptr;
   Peer backend(io, [&](Wire& wire) { waiting = &wire; });
