Hold every customer to four attempts, and test settings of other kinds

It bounds itself and the module to four now; its test allows nine in the settings.

Twelve kinds of settings (one class, all of one effect, a window of 0 or under the connect time, a deadline of 100 ms, retries forbidden or nine, 200 tenants, a zone that no server is in, no zones, 32 MB) go through servers that reset, turn away, answer and say nothing: each request gets one answer in its time, nothing runs twice: ruled out as a fault, but for the attempts. The ids remembered have a bound that a test reaches.

--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -11,8 +11,19 @@
 using fordlb::RequestId;
 using fordlb::TimePoint;
 
+namespace {
+
+fordlb::Settings Bounded(fordlb::Settings settings) {
+  settings.max_attempts = std::min(settings.max_attempts, kMostAttempts);
+  return settings;
+}
+
+}  // namespace
+
 Exchange::Exchange(const fordlb::Settings& settings, std::uint64_t seed)
-    : max_attempts_(settings.max_attempts), balancer_(settings, seed), tallies_(settings.classes.size()) {}
+    : max_attempts_(std::min(settings.max_attempts, kMostAttempts)),
+      balancer_(Bounded(settings), seed),
+      tallies_(settings.classes.size()) {}
 
 RequestId Exchange::Take(TimePoint now, fordlb::Submit submit, Actions* out) {
   submit.request = ++last_request_;
--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -6,8 +6,8 @@
 //
 // Invariants, at the end of each call: taken = served + refused + failed + open for each class; a request
 // that was taken gets one Answer, before its client's time runs out, unless the client left first, and none
-// after; at most Settings::max_attempts attempts of it are sent, none at or after the moment at which its
-// attempts are due, and none once it is over: one that is out by then is withdrawn.
+// after; at most kMostAttempts and Settings::max_attempts attempts of it are sent, none at or after the
+// moment at which its attempts are due, and none once it is over: one that is out by then is withdrawn.
 #ifndef BADGERBRIDGE_EXCHANGE_EXCHANGE_H_
 #define BADGERBRIDGE_EXCHANGE_EXCHANGE_H_
 
@@ -27,6 +27,8 @@
 
 // Before the client gives up: an answer is on its way to it for a while, so attempts end by then.
 constexpr fordlb::Duration kAnswerMargin{5};
+// Of one request, whatever the settings allow.
+constexpr int kMostAttempts = 4;
 // And by then the table answers by itself, whatever the module does: it has had the rest to act.
 constexpr fordlb::Duration kLastResortMargin{2};
 
--- a/src/node/client.cpp
+++ b/src/node/client.cpp
@@ -39,7 +39,6 @@
 constexpr std::chrono::milliseconds kAcceptPause{20};  // after a failure for want of descriptors
 constexpr std::chrono::milliseconds kDrainSweep{100};  // between two looks for idle connections
 constexpr Duration kRemembered{10000};                 // an id; longer than any request and its attempts
-constexpr std::size_t kMostRemembered = 32 << 10;      // ids
 
 using Request = http::request<http::string_body>;
 
@@ -149,7 +148,7 @@
   void WindDown() {
     if (serving_ != 0 || writing_ || lingering_ || closed_) return;
     if (!begun_ && NothingHasCome()) return Linger();
-    SetTimer(listener_.timing_.linger);
+    SetTimer(listener_.limits_.linger);
   }
 
   // What still comes is dropped: a request among it is sent once more by its client, which sees the end and
@@ -160,7 +159,7 @@
     dropped_ = 0;
     beast::error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
-    SetTimer(listener_.timing_.linger);
+    SetTimer(listener_.limits_.linger);
     Read();
   }
   bool lingering() const { return lingering_; }
@@ -226,7 +225,7 @@
       if (overflowed_) {
         error = http::error::buffer_overflow;
       } else if (buffer_.max_size() - buffer_.size() >= kPiece) {
-        if (!Busy() && !timed_) SetTimer(listener_.door_closed_ ? listener_.timing_.linger : kSlowRequest);
+        if (!Busy() && !timed_) SetTimer(listener_.door_closed_ ? listener_.limits_.linger : kSlowRequest);
         return Read();
       } else {
         error = http::error::header_limit;  // of a chunk
@@ -455,13 +454,13 @@
 };
 
 Listener::Listener(asio::io_context& io, const NodeClock& clock, Proxy& proxy, const Config& config,
-                   ListenerTiming timing)
+                   ListenerLimits limits)
     : io_(io),
       clock_(clock),
       proxy_(proxy),
       class_settings_(config.settings.classes),
       max_clients_(config.max_clients),
-      timing_(timing),
+      limits_(limits),
       acceptor_(io),
       timer_(io),
       pause_(io),
@@ -540,7 +539,7 @@
 bool Listener::NoteId(std::string_view id) {
   const TimePoint now = clock_.Now();
   while (!ids_by_age_.empty() &&
-         (ids_by_age_.front().first + kRemembered < now || ids_by_age_.size() >= kMostRemembered)) {
+         (ids_by_age_.front().first + kRemembered < now || ids_by_age_.size() >= limits_.remembered)) {
     ids_.erase(ids_by_age_.front().second);
     ids_by_age_.pop_front();
   }
@@ -567,8 +566,8 @@
   if (stopping_) return;
   stopping_ = true;
   stopped_ = std::move(stopped);
-  last_call_ = clock_.Now() + 2 * Duration(timing_.door_open);
-  CloseDoorAfter(timing_.door_open);
+  last_call_ = clock_.Now() + 2 * Duration(limits_.door_open);
+  CloseDoorAfter(limits_.door_open);
 }
 
 void Listener::CloseDoorAfter(std::chrono::milliseconds wait) {
--- a/src/node/client.h
+++ b/src/node/client.h
@@ -24,16 +24,17 @@
 
 namespace badgerbridge::node {
 
-struct ListenerTiming {
+struct ListenerLimits {
   std::chrono::milliseconds door_open{500};  // after SIGTERM: the front goes on for up to 0.4 s
   std::chrono::milliseconds linger{1000};    // for a client to read an answer and close
+  std::size_t remembered = 32 << 10;         // ids of requests taken lately
 };
 
 class Listener {
  public:
   // Binds and listens; throws boost::system::system_error if it can't.
   Listener(boost::asio::io_context& io, const NodeClock& clock, Proxy& proxy, const Config& config,
-           ListenerTiming timing = {});
+           ListenerLimits limits = {});
   ~Listener();
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
@@ -51,6 +52,7 @@
   bool stopping() const { return stopping_; }
   std::size_t connections() const { return sessions_.size(); }
   std::uint64_t rejected() const { return rejected_; }  // malformed: never taken
+  std::size_t remembered() const { return ids_.size(); }
   // Drained: no request is open or on its way in, and none has come for kDrainQuiet.
   bool Quiet() const;
   static constexpr Duration kDrainQuiet{1000};
@@ -77,7 +79,7 @@
   std::vector<ClassSettings> class_settings_;
   std::unordered_map<std::string, int> classes_, tenants_;
   std::size_t max_clients_;
-  ListenerTiming timing_;
+  ListenerLimits limits_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer timer_, pause_, sweep_;  // of the stop; before the next accept; of the drain
   std::array<char, 16384> dropped_;                  // what is read only to be dropped, of all sessions
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -170,9 +170,9 @@
         },
         [] {}, timing);
     watch_->Watch();
-    ListenerTiming listener_timing;
-    listener_timing.door_open = std::chrono::milliseconds(10);
-    listener_.emplace(io_, clock_, *proxy_, config, listener_timing);
+    ListenerLimits listener_limits;
+    listener_limits.door_open = std::chrono::milliseconds(10);
+    listener_.emplace(io_, clock_, *proxy_, config, listener_limits);
   }
 
   // Steps that it took. Also false where it never came to its end.
--- a/tests/exchange/exchange_test.cpp
+++ b/tests/exchange/exchange_test.cpp
@@ -317,7 +317,9 @@
 }
 
 TEST(Exchange, AttemptsAreBounded) {
-  World world(Usual(), 5);
+  Settings settings = Usual();
+  settings.max_attempts = 9;
+  World world(settings, 5);
   Fill(world, 8);
   for (int i = 0; i < 50; ++i) {
     const RequestId id = world.Take(0, 900);
--- a/tests/node_harness.h
+++ b/tests/node_harness.h
@@ -185,12 +185,12 @@
 
 // All of a node but discovery and signals.
 struct Node {
-  Node(asio::io_context& context, const Config& config)
+  Node(asio::io_context& context, const Config& config, ListenerLimits limits = {})
       : io(context),
         backends(io, clock, Backends::Limits::From(config)),
         proxy(io, clock, backends, config),
         reader(config),
-        listener((Tell(config), io), clock, proxy, config) {}
+        listener((Tell(config), io), clock, proxy, config, limits) {}
 
   void Tell(const Config& config) {
     if (!config.known.is_null()) proxy.UpdateList(ListKind::kCached, reader.Read(config.known));
--- a/tests/node_proxy_test.cpp
+++ b/tests/node_proxy_test.cpp
@@ -3,6 +3,9 @@
 // A node between scripted clients and backends: one final answer each, and what is forwarded.
 #include <gtest/gtest.h>
 
+#include <map>
+#include <set>
+
 #include "node_harness.h"
 
 namespace badgerbridge::node::testing {
@@ -205,6 +208,136 @@
 
 // Within 3 s of connecting: nothing is told from a connection that never says a thing, and half a request
 // will not be whole.
+TEST_F(NodeTest, TheIdsRememberedAreBounded) {
+  Peer backend(io, [](Wire& wire) { wire.Send(Reply(200)); });
+  ListenerLimits limits;
+  limits.remembered = 8;
+  node = std::make_unique<Node>(io, TestConfig({EndpointJson("a", backend.address())}), limits);
+  const auto client = node->Connect();
+  for (int i = 0; i < 30; ++i) {
+    client->Send(Get("c" + std::to_string(i)));
+    ASSERT_TRUE(RunUntil(io, [&] { return Count(client->in, "HTTP/1.1 200 ") == i + 1; }));
+    EXPECT_LE(node->listener.remembered(), 8u);
+  }
+  EXPECT_EQ(node->listener.remembered(), 8u);
+  client->Send(Get("c29"));
+  ASSERT_TRUE(RunUntil(io, [&] { return Count(client->in, "HTTP/1.1 409 ") == 1; })) << "of the newest";
+}
+
+// Settings of other kinds of customers. With each, requests of all their classes go through servers that
+// reset, turn away, answer and say nothing: each gets one answer in its time, and what may not run twice does
+// not.
+TEST_F(NodeTest, OtherCustomersSettingsKeepTheRulesToo) {
+  const auto cls = [](const std::string& name, const std::string& effect, const std::string& group,
+                      int window, int deadline) {
+    return R"({"name":")" + name + R"(","effect":")" + effect + R"(","group":")" + group +
+           R"(","windowMs":)" + std::to_string(window) + R"(,"goalTimeMs":)" + std::to_string(deadline / 2) +
+           R"(,"deadlineMs":)" + std::to_string(deadline) + R"(,"worth":1.0})";
+  };
+  const std::string safe = cls("look", "read_like", "all", 0, 300);
+  const std::string keyed = cls("stamp", "idempotency_key", "cell", 200, 300);
+  const std::string unsafe = cls("pay", "non_idempotent", "all", 0, 300);
+  std::string many_tenants;
+  for (int i = 0; i < 200; ++i)
+    many_tenants +=
+        (i > 0 ? "," : "") + (R"({"name":"t)" + std::to_string(i) + R"(","quotaPerS":1,"fraction":0.005})");
+  struct Customer {
+    const char* what;
+    std::string classes;
+    int attempts = 4;
+    const char* tenants = "";
+    const char* zones = R"(["port louis","ebene"])";
+    int memory_mb = 192;
+  };
+  const Customer customers[] = {
+      {"one class, safe", safe},
+      {"one class, unsafe", unsafe},
+      {"one class, keyed, no window", cls("stamp", "idempotency_key", "cell", 0, 300)},
+      {"keyed, a window under the connect time", cls("stamp", "idempotency_key", "zone", 50, 300)},
+      {"all keyed", keyed + "," + cls("seal", "idempotency_key", "all", 1000, 400)},
+      {"a deadline of 100 ms",
+       cls("look", "read_like", "all", 0, 100) + "," + cls("pay", "non_idempotent", "all", 0, 100)},
+      {"retries forbidden", safe + "," + keyed + "," + unsafe, 1},
+      {"nine attempts", safe + "," + keyed + "," + unsafe, 9},
+      {"many tenants", safe + "," + unsafe, 4, many_tenants.c_str()},
+      {"one zone, which servers are not in", safe + "," + keyed, 4, "", R"(["moka"])"},
+      {"no zones", safe, 4, "", "[]"},
+      {"32 MB", safe + "," + keyed + "," + unsafe, 4, "", R"(["ebene"])", 32},
+  };
+  for (const Customer& customer : customers) {
+    SCOPED_TRACE(customer.what);
+    asio::io_context io;                       // what is left of one customer's does not run on in the next's
+    std::map<std::string, std::set<int>> ran;  // by id: the groups in which it did
+    std::map<std::string, int> times;
+    int served = 0;
+    std::vector<std::unique_ptr<Peer>> backends;
+    std::vector<std::string> known;
+    for (int i = 0; i < 4; ++i) {
+      backends.push_back(std::make_unique<Peer>(io, [&, i](Wire& wire) {
+        const std::string& request = backends[static_cast<std::size_t>(i)]->requests.back();
+        const std::size_t at = request.find("X-Correlation-Id: ") + 18;
+        const std::string id = request.substr(at, request.find("\r\n", at) - at);
+        const int does = served++ % 5;
+        if (does == 1) return wire.Send(Reply(503, "", "X-Unprocessed: 1\r\n"));
+        ran[id].insert(i / 2), ++times[id];
+        if (does == 2) return wire.Reset();
+        if (does == 4) return;  // and says nothing
+        wire.Send(Reply(200, id));
+      }));
+      known.push_back(EndpointJson("s-" + std::to_string(i), backends.back()->address(), "Ready", 1 + i / 2));
+    }
+    std::string text = ConfigJson(known, 1024, "[" + std::string(customer.tenants) + "]");
+    const auto set = [&](const std::string& from, const std::string& until, const std::string& to) {
+      const std::size_t begin = text.find(from) + from.size();
+      text.replace(begin, text.find(until, begin) - begin, to);
+    };
+    set("\"classes\":[", "],\n\"permissions\"", customer.classes);
+    set("\"maxAttempts\":", ",", std::to_string(customer.attempts));
+    set("\"zones\":", ",\"kinds\"", customer.zones);
+    set("\"memory_mb\":", ",", std::to_string(customer.memory_mb));
+    const Config config = ParseConfig(text, [](const char*) { return nullptr; });
+    const auto node = std::make_unique<Node>(io, config);
+    std::vector<std::pair<std::string, std::shared_ptr<Wire>>> clients;
+    for (int i = 0; i < 30; ++i) {
+      const std::size_t which = static_cast<std::size_t>(i) % config.classes.size();
+      const ClassSettings& settings = config.settings.classes[which];
+      const std::string id = "r" + std::to_string(i);
+      const bool get = settings.effect == Effect::kSafe;
+      std::string request = std::string(get ? "GET /" : "POST /") + config.classes[which] +
+                            "?obj=9 HTTP/1.1\r\nHost: b\r\nX-Correlation-Id: " + id +
+                            "\r\nX-Service-Class: " + config.classes[which] + "\r\nX-Time-Left-Ms: " +
+                            std::to_string(static_cast<int>(settings.deadline.count())) + "\r\n";
+      if (settings.effect == Effect::kKeyed) request += "Idempotency-Key: k" + id + "\r\n";
+      if (*customer.tenants) request += "X-Account: t" + std::to_string(i) + "\r\n";
+      request += get ? "\r\n" : "Content-Length: 3\r\n\r\nEND";
+      clients.emplace_back(id, node->Connect());
+      clients.back().second->Send(request);
+      RunReady(io);
+    }
+    for (const auto& [id, client] : clients) {
+      ASSERT_TRUE(RunUntil(io, [&] { return client->in.find("\r\n\r\n") != std::string::npos; })) << id;
+      EXPECT_EQ(Count(client->in, "HTTP/1.1 "), 1) << client->in;
+      EXPECT_TRUE(Served(client->in) || Failed(client->in) || Refused(client->in)) << client->in;
+      const std::size_t which = std::stoul(id.substr(1)) % config.classes.size();
+      const ClassSettings& settings = config.settings.classes[which];
+      EXPECT_LE(times[id], std::min(4, customer.attempts));
+      if (settings.effect == Effect::kUnsafe) {
+        EXPECT_LE(times[id], 1);
+      }
+      if (settings.effect == Effect::kKeyed && settings.group == fordlb::Group::kCell) {
+        EXPECT_LE(ran[id].size(), 1u);
+      }
+      if (settings.effect == Effect::kKeyed && settings.window == Duration(0)) {
+        EXPECT_LE(times[id], 1) << "nothing remembers it";
+      }
+      if (Refused(client->in) && settings.effect == Effect::kUnsafe) {
+        EXPECT_EQ(times[id], 0);
+      }
+    }
+    EXPECT_EQ(node->proxy.open(), 0u);
+  }
+}
+
 TEST_F(NodeTest, SilentAndHalfSentConnectionsAreEnded) {
   Start({});
   const TimePoint began = node->clock.Now();
@@ -309,9 +442,10 @@
   for (const bool last : {false, true}) {
     for (const auto& [what, ahead] : cases) {
       SCOPED_TRACE(std::string(what) + (last ? ", behind the last" : ""));
+      asio::io_context io;
       std::vector<Wire*> waiting;
       Peer backend(io, [&](Wire& wire) { waiting.push_back(&wire); });
-      Start({EndpointJson("a", backend.address())});
+      const auto node = std::make_unique<Node>(io, TestConfig({EndpointJson("a", backend.address())}));
       const auto client = node->Connect();
       client->Send(Get("c1", last ? "Connection: close\r\n" : ""));
       ASSERT_TRUE(RunUntil(io, [&] { return waiting.size() == 1; }));
@@ -385,8 +519,9 @@
 TEST_F(NodeTest, WhatCrossesTheEndOfAConnectionIsDroppedAndNotReset) {
   for (const bool stop : {true, false}) {
     SCOPED_TRACE(stop ? "stop" : "drain");
+    asio::io_context io;
     Peer backend(io, [](Wire& wire) { wire.Send(Reply(200, "ok")); });
-    Start({EndpointJson("a", backend.address())});
+    const auto node = std::make_unique<Node>(io, TestConfig({EndpointJson("a", backend.address())}));
     const auto client = node->Connect();
     client->Send(Get("c1"));
     ASSERT_TRUE(RunUntil(io, [&] { return Served(client->in); }));
