Cross a short window for repeats with everything, too

Taking the window out of Connection::MayBegin was found by a test of the pool and by no crossing: all windows were 10 s there. A fourteenth exchange has one of 20 ms and a slow dial; the check is at the first byte, as the rule counts.

--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -73,6 +73,7 @@
   std::vector<Does> does;
   bool warm = false;       // a connection to each backend stands idle
   bool slow_dial = false;  // connections come up by kConnected, or when nothing else is left to do
+  int window = 10000;      // ms for which a cell remembers a key
 };
 
 struct At {
@@ -141,6 +142,7 @@
         wire.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Chunk(ListOf(true) + "\n"));
       });
     Config config = TestConfig({});
+    config.settings.classes[1].window = Duration(exchange.window);
     pool_.emplace(io_, clock_, Backends::Limits::From(config));
     pool_->OnBegin([this](ServerId server, const Forwarded& request) { Begun(server, request); });
     if (exchange.slow_dial)
@@ -213,6 +215,7 @@
     if (drained_ && !RunUntil(io_, [&] { return told_off_.count(*drained_) > 0; })) ++found->late;
     if (proxy_->open() != 0 || pool_->open() > 16 * kBackends) ++found->leaked;
     found->late += late_;
+    found->twice += forgotten_;
     return step;
   }
 
@@ -314,6 +317,12 @@
   void Begun(ServerId server, const Forwarded& request) {
     if (!playing_) return;
     begun_.insert(request.correlation_id);
+    // The group remembers a key from when it first came.
+    if (!request.idempotency_key.empty()) {
+      const TimePoint now = clock_.Now();
+      const TimePoint first = first_begun_.try_emplace(request.correlation_id, now).first->second;
+      if (now - first > Duration(exchange_.window)) ++forgotten_;
+    }
     if (proxy_->open() == 0) ++late_;          // its request is over: the client left, or has its answer
     if (left_known_) ++late_;                  // what the client asked for goes with it
     if (told_off_.count(server) > 0) ++late_;  // a drain
@@ -469,7 +478,8 @@
   Wire* mute_ = nullptr;
   bool playing_ = false, left_ = false, left_known_ = false, client_gone_ = false, half_ = false;
   bool terminated_ = false, stopped_ = false, departed_ = false;
-  int late_ = 0, kept_ = -1;
+  std::map<std::string, TimePoint> first_begun_;
+  int late_ = 0, forgotten_ = 0, kept_ = -1;
 };
 
 // One play, and what it left behind.
@@ -502,6 +512,13 @@
        {Does::kReset, Does::kAnswer},
        false,
        true},
+      {"keyed, reset once, short window, slow dial",
+       Post("a1", "convert", "END", key),
+       {"a1"},
+       {Does::kReset, Does::kAnswer},
+       false,
+       true,
+       20},
       {"keyed, a large body",
        Post("a1", "convert", std::string(60000, 'x') + "END", key),
        {"a1"},
