--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -84,9 +84,9 @@
 #endif
     proxy.UpdateList(list.snapshot ? ListKind::kFull : ListKind::kDelta, list);
   };
-  Discovery discovery(io, config.discovery, std::move(reader), config.settings.must_ask_for_list, config.seed,
-                      told, [&proxy] { proxy.ListFailed(); },
-                      Discovery::Timing::For(config.settings.must_ask_for_list));
+  Discovery discovery(
+      io, config.discovery, std::move(reader), config.settings.must_ask_for_list, config.seed, told,
+      [&proxy] { proxy.ListFailed(); }, Discovery::Timing::For(config.settings.must_ask_for_list));
   proxy.OnSubscribe([&discovery] { discovery.Watch(); });
   proxy.UpdateList(ListKind::kCached, known);
   if (!config.settings.must_ask_for_list) discovery.Watch();
--- a/src/lab/model.h
+++ b/src/lab/model.h
@@ -79,11 +79,12 @@
 // What only processes and the links between them can suffer (tests/together); the lab leaves it out.
 struct TogetherFault {
   double at = 0;
-  // freeze, thaw: proxies (SIGSTOP, SIGCONT). restart: proxies one after another, `value` ms apart, each asked
-  // to end and started again once it has. discovery_down, discovery_up: for all. Of links to and from a zone's converters: reset, half_close
-  // (once); swallow (a share of new connections), delay (ms), trickle (bytes a second), until one with value
-  // 0. Of links of a zone's proxies to etcd: etcd_cut, etcd_heal. Of whoever decides for all zones then:
-  // freeze_decider, kill_decider, and thaw_decider for the one that was frozen.
+  // freeze, thaw: proxies (SIGSTOP, SIGCONT). restart: proxies one after another, `value` ms apart, each
+  // asked to end and started again once it has. discovery_down, discovery_up: for all. Of links to and from a
+  // zone's converters: reset, half_close (once); swallow (a share of new connections), delay (ms), trickle
+  // (bytes a second), until one with value 0. Of links of a zone's proxies to etcd: etcd_cut, etcd_heal. Of
+  // whoever decides for all zones then: freeze_decider, kill_decider, and thaw_decider for the one that was
+  // frozen.
   std::string what;
   int zone = -1;
   double share = 1, value = 0;
