Give each crossing an address of its own

Eight runs of the crossings side by side all failed: 'bind: Address already in use'. Each play binds an address of its own in 127/8 now.

--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -6,6 +6,7 @@
 // play the four rules are checked by what the peers saw, and that nothing is left behind. A planted fault for
 // each rule shows that the checks can fail.
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include <boost/json.hpp>
 #include <cstdio>
@@ -129,19 +130,34 @@
   return answers;
 }
 
+// Each play has an address of its own: thousands of them leave more closed connections behind than one
+// address has ports, and bind fails then.
+tcp::endpoint OwnPlace() {
+  static unsigned plays = 0;
+  const unsigned number = plays++;
+  return {asio::ip::make_address_v4(127u << 24 | (128 + static_cast<unsigned>(getpid()) % 120) << 16 |
+                                    (number / 250 % 250) << 8 | (1 + number % 250)),
+          0};
+}
+
 class Play : public TrafficWatcher {
  public:
   Play(const Exchange& exchange, std::vector<At> events, Plant plant)
       : exchange_(exchange), events_(std::move(events)), plant_(plant) {
     for (std::size_t i = 0; i < kBackends; ++i) {
-      backends_.push_back(std::make_unique<Peer>(io_, [this, i](Wire& wire) { Serve(i, wire); }));
+      backends_.push_back(std::make_unique<Peer>(
+          io_, [this, i](Wire& wire) { Serve(i, wire); }, place_));
       names_[static_cast<std::size_t>(i)] = "s-" + std::to_string(i);
     }
     for (auto* peer : {&discovery_, &moved_to_})
-      *peer = std::make_unique<Peer>(io_, [this](Wire& wire) {
-        wire.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Chunk(ListOf(true) + "\n"));
-      });
+      *peer = std::make_unique<Peer>(
+          io_,
+          [this](Wire& wire) {
+            wire.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Chunk(ListOf(true) + "\n"));
+          },
+          place_);
     Config config = TestConfig({});
+    config.listen = place_;
     config.settings.classes[1].window = Duration(exchange.window);
     pool_.emplace(io_, clock_, Backends::Limits::From(config));
     pool_->OnBegin([this](ServerId server, const Forwarded& request) { Begun(server, request); });
@@ -455,6 +471,7 @@
   const Exchange& exchange_;
   std::vector<At> events_;
   Plant plant_;
+  const tcp::endpoint place_ = OwnPlace();
   asio::io_context io_;
   NodeClock clock_;
   std::vector<std::unique_ptr<Peer>> backends_;
--- a/tests/node_harness.h
+++ b/tests/node_harness.h
@@ -95,7 +95,9 @@
     Accept();
   }
   tcp::endpoint endpoint() const { return acceptor_.local_endpoint(); }
-  std::string address() const { return "127.0.0.1:" + std::to_string(endpoint().port()); }
+  std::string address() const {
+    return endpoint().address().to_string() + ":" + std::to_string(endpoint().port());
+  }
   void Refuse() { acceptor_.close(); }
 
   std::vector<std::shared_ptr<Wire>> wires;
