--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -838,6 +838,22 @@
   EXPECT_TRUE(rig.Ask(next_id++, 0).has_value());
 }
 
+// Whatever the rules allow after a failed call: a change is to be heard of within 6 s of discovery's return.
+TEST(Discovery, AfterFailedCallsTheNextComesWithinTwoSeconds) {
+  Settings s = Usual();
+  s.must_ask_for_list = true;
+  s.must_ask_within = Duration(40000);
+  Rig rig(s);
+  rig.List({Entry(1)}, ListKind::kCached);
+  for (int i = 0; i < 8; ++i) {
+    rig.List({}, ListKind::kFailed);
+    double waited = 0;
+    while (rig.Count<Subscribe>() == 0 && waited < 60000) rig.Tick(50), waited += 50;
+    EXPECT_LE(waited, 2050) << i;
+    EXPECT_GE(waited, 500) << "no storm of calls either";
+  }
+}
+
 // Sends until one is held; how many went.
 int Fill(Rig& rig, int cls) {
   int sent = 0;
--- a/tests/node_config_test.cpp
+++ b/tests/node_config_test.cpp
@@ -215,6 +215,27 @@
   EXPECT_NE(peer.requests[1].find("index=50 "), std::string::npos);
 }
 
+TEST(JsonValuesTest, WhatIsNoObjectOrTooLongIsTurnedAway) {
+  for (const std::string& bad : {std::string("[]"), std::string("7"), std::string("{\"a\":}"),
+                                 std::string("{} x"), "{\"a\":\"" + std::string(200, 'x') + "\"}"}) {
+    JsonValues values(100);
+    std::string_view bytes = bad;
+    EXPECT_THROW(
+        {
+          while (values.Next(&bytes) == JsonValues::Found::kValue) values.Take();
+        },
+        std::runtime_error)
+        << bad;
+  }
+  JsonValues values(100);
+  const std::string good = "\n{\"a\":1}\n";
+  std::string_view bytes = good;
+  EXPECT_EQ(values.Next(&bytes), JsonValues::Found::kEmptyLine);
+  EXPECT_EQ(values.Next(&bytes), JsonValues::Found::kValue);
+  EXPECT_EQ(values.Take().at("a").as_int64(), 1);
+  EXPECT_EQ(values.Next(&bytes), JsonValues::Found::kNothing);
+}
+
 TEST_F(WatchTest, ListsMayComeIndented) {
   Peer peer(io, [](Wire& wire) { wire.Send(Head()); });
   const auto discovery = Start(peer);
