Separate following a prefix of etcd's keys from what the members are

It stood in membership::Feed, bound to members and reports.

Keeping Feed's former interface as a wrapper was ruled out: only tests would have used it. Its tests of patience drive the follower, the random test follower, feed and ledger, with the same checks.

PrefixRangeEnd moved to etcd/key_range, since the follower needs it below membership.

--- a/src/app/membership_source.cpp
+++ b/src/app/membership_source.cpp
@@ -208,11 +208,11 @@
   return json::object{{"members", std::move(members)},
                       {"sources", std::move(sources)},
                       {"held", ledger_.held()},
-                      {"etcd", json::object{{"state", source_->feed().state()},
-                                            {"revision", source_->feed().revision()},
-                                            {"lists", source_->feed().lists()},
-                                            {"resumes", source_->feed().resumes()},
-                                            {"last_trouble", source_->feed().last_trouble()}}}};
+                      {"etcd", json::object{{"state", source_->follower().state()},
+                                            {"revision", source_->follower().revision()},
+                                            {"lists", source_->follower().snapshots()},
+                                            {"resumes", source_->follower().resumes()},
+                                            {"last_trouble", source_->follower().last_error()}}}};
 }
 
 }  // namespace badgerbridge::app
--- a/src/app/regions_calls.cpp
+++ b/src/app/regions_calls.cpp
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <charconv>
 
-#include "membership/value.h"
+#include "etcd/key_range.h"
 
 namespace badgerbridge::app {
 
@@ -28,7 +28,7 @@
 
 pb::RequestOp GetBelow(const std::string& key) {
   pb::RequestOp op = Get(key);
-  op.mutable_request_range()->set_range_end(membership::EndOfPrefix(key));
+  op.mutable_request_range()->set_range_end(etcd::PrefixRangeEnd(key));
   return op;
 }
 
--- a/src/ctl/zones.cpp
+++ b/src/ctl/zones.cpp
@@ -15,8 +15,8 @@
 #include "ctl/render.h"
 #include "etcd.pb.h"
 #include "etcd/client.h"
+#include "etcd/key_range.h"
 #include "membership/etcd_settings.h"
-#include "membership/value.h"
 #include "regions/evacuation.h"
 #include "regions/links.h"
 
@@ -63,7 +63,7 @@
                               Common* common) {
   pb::RangeRequest range;
   range.set_key(command.regions.prefix);
-  range.set_range_end(membership::EndOfPrefix(command.regions.prefix));
+  range.set_range_end(etcd::PrefixRangeEnd(command.regions.prefix));
   pb::RangeResponse found;
   const etcd::Status status = co_await client.Call("/etcdserverpb.KV/Range", range, &found, timeout);
   if (!status.ok()) co_return Of(status);
--- a/src/membership/etcd_settings.cpp
+++ b/src/membership/etcd_settings.cpp
@@ -40,7 +40,7 @@
 EtcdSourceSettings SourceSettingsOf(const operator_file::Etcd& table) {
   EtcdSourceSettings settings;
   settings.endpoints = Endpoints(table);
-  settings.feed.prefix = table.prefix;
+  settings.follower.prefix = table.prefix;
   settings.channel = Channel(table);
   if (table.user.empty()) return settings;
   settings.user = table.user;
--- a/src/membership/value.cpp
+++ b/src/membership/value.cpp
@@ -18,13 +18,6 @@
 
 }  // namespace
 
-std::string EndOfPrefix(std::string prefix) {
-  while (!prefix.empty() && static_cast<unsigned char>(prefix.back()) == 0xff) prefix.pop_back();
-  if (prefix.empty()) return std::string(1, '\0');
-  prefix.back() = static_cast<char>(static_cast<unsigned char>(prefix.back()) + 1);
-  return prefix;
-}
-
 std::optional<std::string> ReadMember(std::string_view name, std::string_view value, Member* member) {
   boost::system::error_code error;
   const json::value parsed = json::parse(json::string_view(value.data(), value.size()), error);
--- a/src/membership/value.h
+++ b/src/membership/value.h
@@ -19,9 +19,6 @@
 // What ReadMember reads; a member that is gone has no value.
 std::string ValueOf(const Member& member);
 
-// The end of the range of all keys with a prefix (etcd's API, "Key ranges").
-std::string EndOfPrefix(std::string prefix);
-
 // Compare-and-swap of the status alone: the transaction that writes `state` into the value of `kv` if the key
 // is still as it was read, and leaves its lease and all else of the value alone. Its other branch reads the
 // key again. Nothing if the value says so already; *problem if it can't be read.
--- a/tests/membership/etcd_source_test.cpp
+++ b/tests/membership/etcd_source_test.cpp
@@ -34,7 +34,7 @@
     EtcdSourceSettings source_settings;
     for (int i = 0; i < settings.members; ++i)
       source_settings.endpoints.push_back(etcd->address(static_cast<std::size_t>(i)));
-    source_settings.feed.page = 2;
+    source_settings.follower.page_size = 2;
     source_settings.user = settings.user;
     source_settings.password = settings.password;
     Settings ledger_settings;
@@ -68,7 +68,8 @@
     return std::string(Name(found == ledger->believed().end() ? State::kGone : found->second.member->state));
   }
   bool Caught() {
-    return source->feed().revision() == etcd->store().revision() && source->feed().state() == "watching";
+    return source->follower().revision() == etcd->store().revision() &&
+           source->follower().state() == "watching";
   }
 
   asio::io_context io{1};
@@ -88,7 +89,7 @@
   EXPECT_EQ(StateOf("a"), "draining");
   EXPECT_EQ(StateOf("b"), "gone");
   EXPECT_EQ(StateOf("e"), "ready");
-  EXPECT_EQ(source->feed().lists(), 1u);
+  EXPECT_EQ(source->follower().snapshots(), 1u);
   EXPECT_EQ(etcd->protocol_errors(), 0u);
 }
 
@@ -100,8 +101,8 @@
   Delete("b");
   etcd->Up(0);
   ASSERT_TRUE(Until([&] { return StateOf("a") == "draining" && StateOf("b") == "gone"; }));
-  EXPECT_EQ(source->feed().lists(), 1u);
-  EXPECT_EQ(source->feed().resumes(), 1u);
+  EXPECT_EQ(source->follower().snapshots(), 1u);
+  EXPECT_EQ(source->follower().resumes(), 1u);
 }
 
 TEST_F(EtcdSourceTest, ACompactionWhileItIsDownLeavesNothingStale) {
@@ -117,7 +118,7 @@
   ASSERT_TRUE(Until([&] { return StateOf("a") == "draining" && StateOf("b") == "gone"; }));
   ASSERT_TRUE(Until([&] { return ledger->believed().at("c").member->since_ms == 77; }));
   EXPECT_EQ(StateOf("d"), "ready");
-  EXPECT_EQ(source->feed().lists(), 2u);
+  EXPECT_EQ(source->follower().snapshots(), 2u);
   Put("d", "Terminating");
   EXPECT_TRUE(Until([&] { return StateOf("d") == "draining"; })) << "and it follows again";
 }
@@ -134,7 +135,7 @@
   etcd->Silence(in_use, true);
   Put("a", "Terminating");
   ASSERT_TRUE(Until([&] { return StateOf("a") == "draining"; }));
-  EXPECT_EQ(source->feed().lists(), 1u);
+  EXPECT_EQ(source->follower().snapshots(), 1u);
 }
 
 TEST_F(EtcdSourceTest, ARestoreFromABackupIsListedAgain) {
--- a/tests/membership/feed_random_test.cpp
+++ b/tests/membership/feed_random_test.cpp
@@ -1,15 +1,17 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// The feed and the ledger alone against the stand-in's store, in virtual time from fixed seeds: links that
-// are cut, fall silent or lose answers, members that lag, compactions, restores, fragments. At every report,
-// what the ledger believes is what the store held at exactly that revision; once all is quiet, it is what the
-// store holds.
+// The follower, the feed and the ledger alone against the stand-in's store, in virtual time from fixed seeds:
+// links that are cut, fall silent or lose answers, members that lag, compactions, restores, fragments. At
+// every report, what the ledger believes is what the store held at exactly that revision; once all is quiet,
+// it is what the store holds.
 #include <gtest/gtest.h>
 
 #include <deque>
 #include <map>
 #include <random>
 
+#include "etcd/follower.h"
+#include "etcd/key_range.h"
 #include "membership/feed.h"
 #include "standins/etcd_store.h"
 
@@ -19,16 +21,17 @@
 namespace pb = etcdserverpb;
 using etcd::Code;
 using etcd::Ending;
+using etcd::Follower;
 using etcd::Status;
 using standins::EtcdStore;
 
 const std::string kPrefix = "/badgerbridge/converters/";
-const std::string kEnd = EndOfPrefix(kPrefix);
+const std::string kEnd = etcd::PrefixRangeEnd(kPrefix);
 
 class World {
  public:
   explicit World(std::uint64_t seed)
-      : random_(seed), feed_(Settings_(), seed), ledger_([] {
+      : random_(seed), follower_(Settings_(), seed), feed_(kPrefix), ledger_([] {
           Settings settings;
           settings.sources = {{"etcd", true, Time(5000), Time(60000)}};
           settings.most_departures = 1;
@@ -71,7 +74,7 @@
     }
   }
   bool Equal() const {
-    return feed_.revision() == store_.revision() && Believed() == states_.at({epoch_, store_.revision()});
+    return follower_.revision() == store_.revision() && Believed() == states_.at({epoch_, store_.revision()});
   }
 
   std::uint64_t reports() const { return reports_; }
@@ -79,15 +82,16 @@
   std::uint64_t bad_keys() const { return bad_keys_; }
   std::uint64_t compactions() const { return compactions_; }
   std::uint64_t restores() const { return epoch_ - 1; }
-  const Feed& feed() const { return feed_; }
+  const Follower& follower() const { return follower_; }
 
  private:
   using Members = std::map<std::string, std::string>;  // the state, by name
 
-  static FeedSettings Settings_() {
-    FeedSettings settings;
+  static etcd::FollowerSettings Settings_() {
+    etcd::FollowerSettings settings;
+    settings.prefix = kPrefix;
     settings.endpoints = 3;
-    settings.page = 3;
+    settings.page_size = 3;
     return settings;
   }
   unsigned Draw(unsigned n) { return static_cast<unsigned>(random_() % n); }
@@ -176,7 +180,7 @@
     if (!open_) return;
     ++cuts_;
     Lose();
-    Act([&](Feed::Actions* actions) { feed_.Closed(now_, "cut", actions); });
+    Act([&](Follower::Actions* actions) { follower_.Closed(now_, "cut", actions); });
   }
   void Lose() {
     open_ = watching_ = false;
@@ -186,9 +190,9 @@
 
   template <typename Step>
   void Act(Step step) {
-    Feed::Actions actions;
+    Follower::Actions actions;
     step(&actions);
-    for (const Feed::Action& action : actions) std::visit([this](const auto& one) { Do(one); }, action);
+    for (const Follower::Action& action : actions) std::visit([this](const auto& one) { Do(one); }, action);
   }
   // Answers come later, in order, on the link of now; on one that is silent they never come.
   void Later(std::function<void()> what) {
@@ -198,7 +202,7 @@
   void Advance(Time by) {
     const Time until = now_ + by;
     for (;;) {
-      std::optional<Time> next = feed_.NextWake();
+      std::optional<Time> next = follower_.NextWake();
       if (next && *next < now_) next = now_;
       const bool answer = !coming_.empty() && (!next || coming_.front().first <= *next);
       const Time at = answer ? std::max(now_, coming_.front().first) : next.value_or(until + Time(1));
@@ -209,7 +213,7 @@
         coming_.pop_front();
         what();
       } else {
-        Act([&](Feed::Actions* actions) { feed_.Tick(now_, actions); });
+        Act([&](Follower::Actions* actions) { follower_.Tick(now_, actions); });
       }
     }
     now_ = until;
@@ -219,7 +223,7 @@
     header->set_cluster_id(epoch_);
     header->set_revision(lag_ ? lag_ : store_.revision());
   }
-  void Do(const Feed::Connect&) {
+  void Do(const Follower::Connect&) {
     Lose();
     dead_ = silent_;
     const bool refused = Faulty(15);
@@ -227,14 +231,14 @@
     Later([this, refused] {
       if (refused) {
         Lose();
-        Act([&](Feed::Actions* actions) { feed_.Closed(now_, "refused", actions); });
+        Act([&](Follower::Actions* actions) { follower_.Closed(now_, "refused", actions); });
       } else {
-        Act([&](Feed::Actions* actions) { feed_.Opened(now_, actions); });
+        Act([&](Follower::Actions* actions) { follower_.Opened(now_, actions); });
       }
     });
   }
-  void Do(const Feed::Authenticate&) { FAIL(); }
-  void Do(const Feed::Range& action) {
+  void Do(const Follower::Authenticate&) { FAIL(); }
+  void Do(const Follower::Range& action) {
     EXPECT_FALSE(action.request.serializable());
     if (lag_) return;  // a read that must not be behind waits
     pb::RangeResponse response;
@@ -242,10 +246,10 @@
     Head(response.mutable_header());
     if (Faulty(5)) status = {Code::kUnavailable, Ending::kStatus, "no leader"};
     Later([this, status, response] {
-      Act([&](Feed::Actions* actions) { feed_.Ranged(now_, status, response, actions); });
+      Act([&](Follower::Actions* actions) { follower_.RangeCompleted(now_, status, response, actions); });
     });
   }
-  void Do(const Feed::Watch& action) {
+  void Do(const Follower::Watch& action) {
     const auto& create = action.request.create_request();
     EXPECT_EQ(create.key(), kPrefix);
     EXPECT_EQ(create.range_end(), kEnd);
@@ -265,10 +269,11 @@
   }
   void Tell(const pb::WatchResponse& response) {
     Later([this, response, turn = turn_] {
-      if (turn == turn_) Act([&](Feed::Actions* actions) { feed_.Watched(now_, response, actions); });
+      if (turn == turn_)
+        Act([&](Follower::Actions* actions) { follower_.WatchReceived(now_, response, actions); });
     });
   }
-  void Do(const Feed::AskProgress&) {
+  void Do(const Follower::RequestProgress&) {
     if (!watching_ || next_ <= (lag_ ? lag_ : store_.revision())) return;  // only when it has all
     pb::WatchResponse response;
     Head(response.mutable_header());
@@ -297,33 +302,44 @@
       if (dead_) return;
       if (Faulty(4)) return Cut();
       coming_.emplace_back(now_ + Time(Draw(3)), [this, one, turn = turn_] {
-        if (turn == turn_) Act([&](Feed::Actions* actions) { feed_.Watched(now_, one, actions); });
+        if (turn == turn_)
+          Act([&](Follower::Actions* actions) { follower_.WatchReceived(now_, one, actions); });
       });
     }
   }
-  void Do(const Feed::Close&) { Lose(); }
-  void Do(const Feed::Tell& action) {
+  void Do(const Follower::Close&) { Lose(); }
+  void Do(const Follower::SnapshotPage& action) { Take(feed_.Convert(action)); }
+  void Do(const Follower::Events& action) {
+    ledger_.Heard(now_, 0);
+    Take(feed_.Convert(action));
+  }
+  void Do(const Follower::Progress&) { ledger_.Heard(now_, 0); }
+  void Do(const Follower::Disconnected&) {}
+  void Take(const Feed::Output& output) {
+    for (const Feed::KeyProblem& key : output.keys) TakeKey(key);
+    if (!output.report) return;
+    const Report& report = *output.report;
     ++reports_;
     std::vector<Member> changes;
-    EXPECT_TRUE(ledger_.Take(now_, action.report, &changes));
-    const auto held = states_.find({action.report.epoch, static_cast<std::int64_t>(action.report.version)});
+    EXPECT_TRUE(ledger_.Take(now_, report, &changes));
+    const auto held = states_.find({report.epoch, static_cast<std::int64_t>(report.version)});
     ASSERT_NE(held, states_.end());
-    EXPECT_EQ(Believed(), held->second) << "at revision " << action.report.version;
+    EXPECT_EQ(Believed(), held->second) << "at revision " << report.version;
   }
-  void Do(const Feed::Alive&) { ledger_.Heard(now_, 0); }
-  void Do(const Feed::BadKey& action) {
-    const bool bad = action.key.rfind(kPrefix + "bad", 0) == 0;
+  void TakeKey(const Feed::KeyProblem& key) {
+    const bool bad = key.key.rfind(kPrefix + "bad", 0) == 0;
     if (!bad) {
-      EXPECT_EQ(action.reason, "") << action.key;
+      EXPECT_EQ(key.reason, "") << key.key;
     }
-    bad_keys_ += bad && !action.reason.empty();
-    ledger_.Problem(0, action.key, action.reason);
+    bad_keys_ += bad && !key.reason.empty();
+    ledger_.Problem(0, key.key, key.reason);
   }
 
   std::mt19937_64 random_;
   EtcdStore store_;
   std::uint64_t epoch_ = 1;
   std::map<std::pair<std::uint64_t, std::int64_t>, Members> states_;
+  Follower follower_;
   Feed feed_;
   Ledger ledger_;
   Time now_{1000};
@@ -344,11 +360,12 @@
       }
     }
     world.Quiet();
-    ASSERT_TRUE(world.Equal()) << "seed " << seed << ": " << world.feed().state() << ", "
-                               << world.feed().last_trouble();
+    ASSERT_TRUE(world.Equal()) << "seed " << seed << ": " << world.follower().state() << ", "
+                               << world.follower().last_error();
     bad_keys += world.bad_keys();
     reports += world.reports(), cuts += world.cuts(), compactions += world.compactions();
-    restores += world.restores(), lists += world.feed().lists(), resumes += world.feed().resumes();
+    restores += world.restores(), lists += world.follower().snapshots(),
+        resumes += world.follower().resumes();
   }
   // It was about something.
   EXPECT_GT(reports, 1200u);
--- a/tests/membership/registrar_test.cpp
+++ b/tests/membership/registrar_test.cpp
@@ -181,9 +181,9 @@
     EtcdSource source(
         io, settings, 1, [&](Time, const Report& report) { members = report.members.size(); }, [](Time) {},
         [](const std::string&, const std::string&) {});
-    EXPECT_TRUE(
-        Until([&] { return source.feed().state() == "watching" || !source.feed().last_trouble().empty(); }));
-    if (source.feed().state() != "watching") return source.feed().last_trouble();
+    EXPECT_TRUE(Until(
+        [&] { return source.follower().state() == "watching" || !source.follower().last_error().empty(); }));
+    if (source.follower().state() != "watching") return source.follower().last_error();
     EXPECT_EQ(members, 1u);
     return "";
   }
@@ -239,13 +239,13 @@
         for (const Member& one : report.members) state = one.state;
       },
       [](Time) {}, [](const std::string&, const std::string&) {});
-  ASSERT_TRUE(Until([&] { return source.feed().state() == "watching" && etcd->watches() == 1; }));
+  ASSERT_TRUE(Until([&] { return source.follower().state() == "watching" && etcd->watches() == 1; }));
   etcd->Down(0);
   member.state = State::kDraining;
   etcd->Put(kPrefix + "a", ValueOf(member));
   etcd->Up(0);
   ASSERT_TRUE(Until([&] { return state == State::kDraining; }));
-  EXPECT_EQ(source.feed().resumes(), 1u);
+  EXPECT_EQ(source.follower().resumes(), 1u);
 }
 
 }  // namespace
