--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -70,7 +70,17 @@
     SubscriberId subscriber;
     etcd::Status status;
   };
-  using Action = std::variant<AnswerRead, ConfirmRevision, WakeSubscriber, EndSubscriber>;
+  // Reads wait for the cache to reach a confirmed revision: ask the upstream's watch for its progress.
+  // Without it, writes outside the prefix would move the source's revision and nothing would tell the cache.
+  struct RequestUpstreamProgress {};
+  // What came from upstream contradicts itself or what came before; nothing of it was taken. Drop that
+  // connection and list again, elsewhere if there is another: until the next UpstreamSnapshot, events and
+  // progress are not taken.
+  struct RejectUpstream {
+    std::string why;
+  };
+  using Action = std::variant<AnswerRead, ConfirmRevision, WakeSubscriber, EndSubscriber,
+                              RequestUpstreamProgress, RejectUpstream>;
   using Actions = std::vector<Action>;
 
   explicit Relay(Settings settings);
@@ -105,8 +115,11 @@
   void Unsubscribe(SubscriberId subscriber);
   void RequestProgress(Time now, SubscriberId subscriber, Actions* actions);
   // The next message for a subscriber whose transport has room, its watch_id left 0; false if there is none.
-  // Its events hold whole revisions, or a fragment where the watch asked for fragments and `max_bytes` would
-  // be passed. A message with `canceled` set is the subscriber's last: it is forgotten here.
+  // The first has `created` set; a watch that is refused for its range gets one with `created` and
+  // `canceled`. (One that is refused for a bound, a shutdown or the lack of a state is ended by
+  // EndSubscriber.) Its events hold whole revisions, or a fragment where the watch asked for fragments and
+  // `max_bytes` would be passed. A message with `canceled` set is the subscriber's last: it is forgotten
+  // here.
   bool Take(Time now, SubscriberId subscriber, std::size_t max_bytes, etcdserverpb::WatchResponse* response);
 
   // ---- time and the end
@@ -127,7 +140,8 @@
     std::size_t keys = 0, state_bytes = 0, window_events = 0, window_bytes = 0;
     std::size_t subscribers = 0, slow_subscribers = 0, merged_events = 0, waiting_reads = 0;
     std::uint64_t reads = 0, lists = 0, confirmations = 0, snapshots = 0, resumed = 0, told_to_reread = 0,
-                  refused = 0;
+                  refused = 0, upstream_rejected = 0;
+    std::string last_upstream_error;  // of UpstreamLost or RejectUpstream
   };
   Status status() const;
 
