--- /dev/null
+++ b/src/relay/event.h
@@ -0,0 +1,42 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// What the state, the window and the subscribers' backlogs share without copies: key values, events, batches.
+#ifndef BADGERBRIDGE_RELAY_EVENT_H_
+#define BADGERBRIDGE_RELAY_EVENT_H_
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+#include "etcd.pb.h"
+
+namespace badgerbridge::relay {
+
+using KeyValuePtr = std::shared_ptr<const etcdserverpb::KeyValue>;
+
+struct StoredEvent {
+  bool deletion = false;
+  bool must_deliver = false;  // not to be merged away by a newer event that need not be delivered
+  KeyValuePtr kv;             // of a deletion: key and mod_revision alone
+  KeyValuePtr previous;       // what this cache held before; null: nothing
+  std::size_t bytes = 0;      // as an event on the wire, without `previous`
+
+  std::int64_t revision() const { return kv->mod_revision(); }
+};
+using StoredEventPtr = std::shared_ptr<const StoredEvent>;
+
+// What brings the source's state at `from` to that at `to`. In between nothing is claimed: an upstream relay
+// may have merged the events of several revisions.
+struct Batch {
+  std::int64_t from = 0, to = 0;
+  // A difference of two snapshots: it takes one who holds the state at `from` to that at `to`, and nobody who
+  // holds a state in between, since keys that came and went are not in it.
+  bool difference = false;
+  std::vector<StoredEventPtr> events;  // their mod_revision in (from, to], ascending
+  std::size_t bytes = 0;
+};
+using BatchPtr = std::shared_ptr<const Batch>;
+
+}  // namespace badgerbridge::relay
+
+#endif  // BADGERBRIDGE_RELAY_EVENT_H_
