Split a trial's implementation by job; nothing but moves

trial.cpp had grown to 851 lines with functions of up to 170. It keeps the course of a trial: the block of addresses, the timetable, the loop under load, Run.

- trial_files.cpp: Config, WriteOperatorFile.
- trial_processes.cpp: Part (what it hears now in Hear), StartParts (now StartConverters, PlaceProxies, StartDiscovery, StartEtcd), OpenLinks, StartProxy, StartAgain, UntilReady, HowEnded, and out of Run: StartClients, AwaitProxies, StopProxies.
- trial_faults.cpp: List, SetLinks, Happen (now CutZones, HoldLists, OrderZones, HappenToProxies, HappenToConverters), Suffer (now CutEtcd, FreezeProxies, RestartProxies, BreakConnections), SufferDecider (now StopDecider, Thaw).
The even share that stood three times is EvenShare.
- trial_account.cpp: Collect, Gather, and out of Run: RulesOf, ColdBudget, CountSeconds, StopRegionsWatch, TakeOutcome.
- trial_names.h: the names that these share.

--- a/tests/together/trial.h
+++ b/tests/together/trial.h
@@ -91,27 +91,64 @@
     std::function<void()> act;
   };
 
+  static constexpr double kAfterRevive = 1500;  // ms until a proxy that was started again counts as running
+
+  // trial.cpp: the course of a trial.
+  void TakeBlock();
+  std::string Host(int zone, int number) const;
+  void Note(std::string text);
+  // Runs until it holds; throws, saying what was awaited, if it does not in time.
+  void Until(const std::function<bool()>& holds, const std::string& what, double most_ms = 20000);
+  void WatchRegions();
+  void BeginLoad();
+  void RunLoad();
+  void ActOnWhatIsDue();
+  void LookAfterProxies(double longest);
+
+  // trial_files.cpp: what a proxy reads at its start.
+  std::string Config(const Proxy& proxy) const;
+  void WriteOperatorFile(const Proxy& proxy) const;
+
+  // trial_processes.cpp: processes and the links between them.
+  std::unique_ptr<Child> Part(const std::string& role, const std::string& name);
+  void Hear(const std::string& name, const boost::json::object& line);
+  void StartConverters();
+  void PlaceProxies();
+  void StartDiscovery();
+  void StartEtcd();
   void StartParts();
   void OpenLinks();
   void StartProxy(Proxy& proxy);
   void StartAgain(Proxy& proxy);
   boost::asio::awaitable<void> UntilReady(std::size_t proxy, std::size_t restart);
+  void StartClients(int zone);
+  void AwaitProxies();
+  void StopProxies();
   std::string HowEnded(const Proxy& proxy) const;
-  std::string Config(const Proxy& proxy) const;
+
+  // trial_faults.cpp: what happens to them.
+  void List(Converter& converter);
+  void SetLinks();
   void Happen(const lab::Happening& what);
+  void CutZones(const lab::Happening& what);
+  void HoldLists(bool stale);
+  void OrderZones(const lab::Happening& what);
+  void HappenToProxies(const lab::Happening& what);
+  void HappenToConverters(const lab::Happening& what);
   void Suffer(const lab::TogetherFault& what);
   bool SufferDecider(const std::string& what);
-  void WriteOperatorFile(const Proxy& proxy) const;
-  void SetLinks();
-  void List(Converter& converter);
+  void StopDecider(const std::string& what, const std::string& name);
+  void Thaw(Proxy& proxy);
+  void CutEtcd(const lab::TogetherFault& what);
+  void FreezeProxies(const lab::TogetherFault& what);
+  void RestartProxies(const lab::TogetherFault& what);
+  void BreakConnections(const lab::TogetherFault& what);
+
+  // trial_account.cpp: what they report, and what comes of it.
   void Collect(const boost::json::object& line);
   void Gather();
-  std::unique_ptr<Child> Part(const std::string& role, const std::string& name);
-  // Runs until it holds; throws, saying what was awaited, if it does not in time.
-  void Until(const std::function<bool()>& holds, const std::string& what, double most_ms = 20000);
-  void Note(std::string text);
-  void TakeBlock();
-  std::string Host(int zone, int number) const;
+  void StopRegionsWatch();
+  Outcome TakeOutcome();
 
   std::string Path(const Proxy& proxy, const char* ending) const {
     return folder_ + "/" + proxy.name + ending;
@@ -141,7 +178,8 @@
   std::vector<std::function<void()>> held_back_;
   double began_ = 0;
   std::size_t ready_parts_ = 0, ended_parts_ = 0, processes_ = 0;
-  std::vector<std::size_t> ready_proxies_;  // as the clients of each zone see it
+  std::vector<std::size_t> ready_proxies_;     // as the clients of each zone see it
+  std::vector<std::size_t> expected_proxies_;  // of each zone
   History history_;
   Outcome outcome_;
   boost::asio::ip::tcp::acceptor held_block_;
--- /dev/null
+++ b/tests/together/trial_files.cpp
@@ -0,0 +1,91 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The files that a proxy of a trial reads at its start: its configuration and, where the plan has regions,
+// the operator's file.
+#include <cmath>
+#include <fstream>
+
+#include "together/trial.h"
+#include "together/trial_names.h"
+
+namespace badgerbridge::together {
+
+namespace json = boost::json;
+
+std::string Trial::Config(const Proxy& proxy) const {
+  json::array classes, zones, known;
+  // As it had the list last, if it had one.
+  for (const Converter& c : converters_) {
+    if (proxy.lives > 1 && c.status != "Gone")
+      known.push_back(json::object{{"name", c.name},
+                                   {"address", c.relayed[static_cast<std::size_t>(proxy.zone)]},
+                                   {"zone", ZoneName(c.zone)},
+                                   {"type", "standard"},
+                                   {"group", c.group},
+                                   {"status", c.status},
+                                   {"weight", 1.0},
+                                   {"since_ms", c.since_ms}});
+  }
+  constexpr const char* kEffects[] = {"read_like", "idempotency_key", "non_idempotent"};
+  constexpr const char* kGroups[] = {"all", "zone", "cell"};
+  for (const lab::ClassModel& c : model_.classes)
+    classes.push_back(json::object{{"name", c.name},
+                                   {"effect", kEffects[static_cast<int>(c.rules.effect)]},
+                                   {"group", kGroups[static_cast<int>(c.rules.group)]},
+                                   {"windowMs", c.rules.window.count()},
+                                   {"goalTimeMs", c.rules.aim.count()},
+                                   {"deadlineMs", c.rules.deadline.count()},
+                                   {"worth", c.rules.worth},
+                                   {"lateWorth", c.rules.late_worth}});
+  for (int z = 0; z < model_.zones; ++z) zones.push_back(json::value(ZoneName(z)));
+  const auto me = static_cast<int>(&proxy - proxies_.data());
+  return json::serialize(json::object{
+      {"name", proxy.name},
+      {"listen", proxy.listen},
+      {"discovery", proxy.discovery},
+      {"seed", std::to_string(100 + seed_ % 1000 * 100 + static_cast<std::uint64_t>(me + proxy.lives * 10))},
+      {"known", json::object{{"index", 0}, {"snapshot", true}, {"endpoints", std::move(known)}}},
+      {"limits", json::object{{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}},
+      {"settings",
+       json::object{{"balancers", model_.proxies},
+                    {"me", me},
+                    {"zone", proxy.zone},
+                    {"zones", std::move(zones)},
+                    {"kinds", json::array{"standard"}},
+                    {"tenants", json::array{}},
+                    {"periodMs", 5.0},
+                    {"registryMode", "push"},
+                    {"classes", std::move(classes)},
+                    {"permissions", json::object{{"maxAttempts", model_.max_attempts},
+                                                 {"connectTimeoutMs", model_.network.connect_timeout.count()},
+                                                 {"connIdleMs", 60000.0},
+                                                 {"retryAfter", model_.max_retry_after.count() > 0},
+                                                 {"maxRetryAfterMs", model_.max_retry_after.count()}}},
+                    {"rules", json::object{{"coldFrom", model_.converter.cold_from},
+                                           {"warmUpMs", model_.converter.warm_up.count()},
+                                           {"fallMultiple", std::max(1.0, model_.converter.fall_multiple)},
+                                           {"overloadForMs", model_.converter.overload_for.count()},
+                                           {"drainGraceMs", model_.drain_grace.count()}}}}}});
+}
+
+// What this installation switches on: the regions, and the control API to look on.
+void Trial::WriteOperatorFile(const Proxy& proxy) const {
+  std::ofstream file(Path(proxy, ".toml"), std::ios::trunc);
+  file << "[control]\nsocket = \"" << Path(proxy, ".sock") << "\"\n[regions]\nprefix = \"" << kPrefix
+       << "\"\nendpoints = [";
+  for (const std::string& address : etcd_relayed_[static_cast<std::size_t>(proxy.zone)])
+    file << '"' << address << "\", ";
+  file << "]\nzones = [";
+  for (int z = 0; z < model_.zones; ++z) file << '"' << ZoneName(z) << "\", ";
+  file << "]\n";
+  for (int a = 0; a < model_.zones; ++a) {
+    for (int b = a + 1; b < model_.zones; ++b) {
+      if (model_.RegionOf(a) == model_.RegionOf(b)) continue;
+      file << "[[regions.link]]\nfrom = \"" << ZoneName(a) << "\"\nto = \"" << ZoneName(b)
+           << "\"\nround_trip = \"" << static_cast<int>(std::ceil(2 * model_.far.count()))
+           << "ms\"\nprice_percent = 20\n";
+    }
+  }
+}
+
+}  // namespace badgerbridge::together
