Move the gRPC server from the stand-in etcd to src/etcd

The relay to come needs what only the tests' stand-in had: the server's side of gRPC over HTTP/2. A second copy beside it was ruled out, as was a gRPC library, whose threads and size the proxies' own client does without.

Http2Server (pure) is the twin of Http2Client, with bounds on calls, header bytes, message size and unsent bytes; ServerConnection and Server are its shell: TLS, a ping to a silent client, ends for idle and for stalled ones. The stand-in keeps its faults as hooks on top.

--- a/src/etcd/http2.cpp
+++ b/src/etcd/http2.cpp
@@ -7,22 +7,14 @@
 #include <cstring>
 #include <stdexcept>
 
+#include "etcd/http2_fields.h"
+
 namespace badgerbridge::etcd {
 namespace {
 
 constexpr std::uint32_t kStreamWindow = 1 << 20;
 constexpr std::int32_t kConnectionWindow = 4 << 20;
 
-nghttp2_nv Pair(const std::string& name, const std::string& value) {
-  return {reinterpret_cast<std::uint8_t*>(const_cast<char*>(name.data())),
-          reinterpret_cast<std::uint8_t*>(const_cast<char*>(value.data())), name.size(), value.size(),
-          NGHTTP2_NV_FLAG_NONE};
-}
-
-std::string_view View(const std::uint8_t* data, std::size_t size) {
-  return {reinterpret_cast<const char*>(data), size};
-}
-
 }  // namespace
 
 struct Http2Client::Call {
@@ -48,7 +40,7 @@
                       void* user) {
     Call* call = Find(user, frame->hd.stream_id);
     if (!call || call->ended) return 0;
-    if (!call->status.Header(View(name, name_size), View(value, value_size)))
+    if (!call->status.Header(BytesOf(name, name_size), BytesOf(value, value_size)))
       Abort(session, frame->hd.stream_id, call,
             {Code::kResourceExhausted, Ending::kTooLarge, "more headers than are taken"});
     return 0;
@@ -60,7 +52,7 @@
     if (!call || call->ended) return 0;
     if (!call->status.Grpc()) return 0;  // the page of some other server: its status will tell
     // A handler may cancel this very call, or begin others.
-    const bool good = call->unframer.Feed(View(data, size), [&](std::string_view message) {
+    const bool good = call->unframer.Feed(BytesOf(data, size), [&](std::string_view message) {
       Call* still = Find(user, stream);
       if (!still || still->ended) return;
       ++still->messages;
@@ -163,13 +155,12 @@
   auto call = std::make_unique<Call>(limits_.message, std::move(handler));
   call->out = Frame(message);
   call->last = call->unary = last;
-  const std::vector<std::pair<std::string, std::string>> fixed = {
+  HeaderFields fields = {
       {":method", "POST"},           {":scheme", scheme_}, {":path", path},
       {":authority", authority_},    {"te", "trailers"},   {"content-type", "application/grpc"},
       {"user-agent", "badgerbridge"}};
-  std::vector<nghttp2_nv> headers;
-  for (const auto& [name, value] : fixed) headers.push_back(Pair(name, value));
-  for (const auto& [name, value] : metadata) headers.push_back(Pair(name, value));
+  fields.insert(fields.end(), metadata.begin(), metadata.end());
+  const std::vector<nghttp2_nv> headers = PairsOf(fields);
   nghttp2_data_provider provider{};
   provider.source.ptr = call.get();
   provider.read_callback = Callbacks::Read;
--- a/tests/standins/etcd.cpp
+++ b/tests/standins/etcd.cpp
@@ -1,14 +1,10 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "standins/etcd.h"
 
-#include <nghttp2/nghttp2.h>
-
 #include <algorithm>
-#include <array>
-#include <boost/asio/write.hpp>
-#include <cstring>
 #include <optional>
 
+#include "etcd/server.h"
 #include "standins/etcd_fields.h"
 
 namespace badgerbridge::standins {
@@ -25,19 +21,14 @@
 
 milliseconds Now() { return std::chrono::duration_cast<milliseconds>(Clock::now().time_since_epoch()); }
 
-nghttp2_nv Pair(const std::string& name, const std::string& value) {
-  return {reinterpret_cast<std::uint8_t*>(const_cast<char*>(name.data())),
-          reinterpret_cast<std::uint8_t*>(const_cast<char*>(value.data())), name.size(), value.size(),
-          NGHTTP2_NV_FLAG_NONE};
-}
+constexpr std::size_t kUnsent = 1 << 30;  // bytes: no bound that tests of clients could meet
 
 }  // namespace
 
 struct Etcd::Member {
   std::size_t number = 0;
-  std::optional<tcp::acceptor> acceptor;
+  std::unique_ptr<etcd::Server> server;
   tcp::endpoint address;
-  std::uint64_t turn = 0;
   std::set<std::shared_ptr<Connection>> connections;
   std::optional<std::size_t> cut_after;
   bool silent = false, lag = false;
@@ -51,211 +42,74 @@
     bool progress = false, prev_kv = false, fragment = false, no_puts = false, no_deletes = false;
     std::chrono::steady_clock::time_point told = Clock::now();
   };
-  explicit Stream(std::int32_t i) : id(i), unframer(4 << 20) {}
-  std::int32_t id;
-  std::map<std::string, std::string> headers;
-  etcd::Unframer unframer;
+  Stream(etcd::StreamId i, etcd::CallHead h) : id(i), head(std::move(h)) {}
+  etcd::StreamId id;
+  etcd::CallHead head;
   std::vector<std::string> messages;
-  bool half_closed = false, answered = false, finished = false, deferred = false, is_watch = false;
-  bool no_trailers = false;
-  std::string out;
-  std::size_t sent = 0;
-  std::optional<Status> status;  // to end with, once all is sent
+  bool half_closed = false, finished = false;
   std::vector<Watch> watches;
   std::int64_t next_watch = 0;
   std::optional<pb::RangeRequest> waits;  // for the member to catch up
 };
 
+// One client's: its calls, on the product's own server.
 struct Etcd::Connection : std::enable_shared_from_this<Connection> {
-  Connection(Etcd& e, Member& m, tcp::socket s) : etcd(e), member(m), socket(std::move(s)), alive(e.alive_) {
-    nghttp2_session_callbacks* callbacks = nullptr;
-    nghttp2_session_callbacks_new(&callbacks);
-    nghttp2_session_callbacks_set_on_header_callback(callbacks, OnHeader);
-    nghttp2_session_callbacks_set_on_begin_headers_callback(callbacks, OnBegin);
-    nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, OnFrame);
-    nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks, OnData);
-    nghttp2_session_callbacks_set_on_stream_close_callback(callbacks, OnClose);
-    nghttp2_session_server_new(&session, callbacks, this);
-    nghttp2_session_callbacks_del(callbacks);
-    const nghttp2_settings_entry settings[] = {{NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, 100}};
-    nghttp2_submit_settings(session, NGHTTP2_FLAG_NONE, settings, 1);
-  }
-  ~Connection() { nghttp2_session_del(session); }
+  Connection(Etcd& e, Member& m, std::shared_ptr<etcd::ServerConnection> l)
+      : etcd(e), member(m), link(std::move(l)) {}
 
-  static Connection& Self(void* user) { return *static_cast<Connection*>(user); }
-  Stream* Find(std::int32_t id) {
+  etcd::Http2Server& http2() { return link->http2(); }
+  Stream* Find(etcd::StreamId id) {
     const auto found = streams.find(id);
     return found == streams.end() ? nullptr : found->second.get();
   }
 
-  static int OnBegin(nghttp2_session*, const nghttp2_frame* frame, void* user) {
-    Self(user).streams[frame->hd.stream_id] = std::make_unique<Stream>(frame->hd.stream_id);
-    return 0;
-  }
-  static int OnHeader(nghttp2_session*, const nghttp2_frame* frame, const std::uint8_t* name,
-                      std::size_t name_size, const std::uint8_t* value, std::size_t value_size, std::uint8_t,
-                      void* user) {
-    if (Stream* stream = Self(user).Find(frame->hd.stream_id))
-      stream->headers[std::string(reinterpret_cast<const char*>(name), name_size)] =
-          std::string(reinterpret_cast<const char*>(value), value_size);
-    return 0;
-  }
-  static int OnData(nghttp2_session*, std::uint8_t, std::int32_t id, const std::uint8_t* data,
-                    std::size_t size, void* user) {
-    Connection& self = Self(user);
-    Stream* stream = self.Find(id);
-    if (!stream) return 0;
-    if (!stream->unframer.Feed({reinterpret_cast<const char*>(data), size},
-                               [&](std::string_view message) { stream->messages.emplace_back(message); })) {
-      ++self.etcd.protocol_errors_;
-      nghttp2_submit_rst_stream(self.session, NGHTTP2_FLAG_NONE, id, NGHTTP2_PROTOCOL_ERROR);
-      return 0;
-    }
-    self.etcd.Handle(self, *stream);
-    return 0;
-  }
-  static int OnFrame(nghttp2_session*, const nghttp2_frame* frame, void* user) {
-    Connection& self = Self(user);
-    Stream* stream = self.Find(frame->hd.stream_id);
-    if (stream && (frame->hd.flags & NGHTTP2_FLAG_END_STREAM)) {
+  etcd::Http2ServerHandler Handlers() {
+    etcd::Http2ServerHandler handler;
+    handler.on_call = [this](etcd::StreamId id, const etcd::CallHead& head) {
+      streams[id] = std::make_unique<Stream>(id, head);
+    };
+    handler.on_message = [this](etcd::StreamId id, std::string_view message) {
+      Stream* stream = Find(id);
+      if (!stream) return;
+      stream->messages.emplace_back(message);
+      etcd.Handle(*this, *stream);
+    };
+    handler.on_half_closed = [this](etcd::StreamId id) {
+      Stream* stream = Find(id);
+      if (!stream) return;
       stream->half_closed = true;
-      self.etcd.Handle(self, *stream);
-    }
-    return 0;
-  }
-  static int OnClose(nghttp2_session*, std::int32_t id, std::uint32_t, void* user) {
-    Self(user).streams.erase(id);
-    return 0;
-  }
-  static ssize_t Read(nghttp2_session* session, std::int32_t id, std::uint8_t* buffer, std::size_t size,
-                      std::uint32_t* flags, nghttp2_data_source* source, void*) {
-    auto* stream = static_cast<Stream*>(source->ptr);
-    const std::size_t n = std::min(size, stream->out.size() - stream->sent);
-    if (n == 0 && !stream->status && !stream->no_trailers) {
-      stream->deferred = true;
-      return NGHTTP2_ERR_DEFERRED;
-    }
-    std::memcpy(buffer, stream->out.data() + stream->sent, n);
-    stream->sent += n;
-    if (stream->sent == stream->out.size() && (stream->status || stream->no_trailers)) {
-      *flags |= NGHTTP2_DATA_FLAG_EOF;
-      if (!stream->no_trailers) {
-        *flags |= NGHTTP2_DATA_FLAG_NO_END_STREAM;
-        const std::string code = std::to_string(static_cast<int>(stream->status->code));
-        const std::string text = etcd::EncodeMessage(stream->status->message);
-        const std::string code_name = "grpc-status", text_name = "grpc-message";
-        const nghttp2_nv trailers[] = {Pair(code_name, code), Pair(text_name, text)};
-        nghttp2_submit_trailer(session, id, trailers, 2);
-      }
-    }
-    return static_cast<ssize_t>(n);
+      etcd.Handle(*this, *stream);
+    };
+    handler.on_closed = [this](etcd::StreamId id) { streams.erase(id); };
+    handler.on_violation = [this](const std::string&) { ++etcd.protocol_errors_; };
+    return handler;
   }
 
-  void Begin(Stream& stream) {
-    if (std::exchange(stream.answered, true)) return;
-    const std::vector<std::pair<std::string, std::string>> fields = {{":status", "200"},
-                                                                     {"content-type", "application/grpc"}};
-    std::vector<nghttp2_nv> headers;
-    for (const auto& [name, value] : fields) headers.push_back(Pair(name, value));
-    nghttp2_data_provider provider{};
-    provider.source.ptr = &stream;
-    provider.read_callback = Read;
-    nghttp2_submit_response(session, stream.id, headers.data(), headers.size(), &provider);
-  }
-  void Resume(Stream& stream) {
-    if (std::exchange(stream.deferred, false)) nghttp2_session_resume_data(session, stream.id);
-  }
-  void Say(Stream& stream, const std::string& message) {
-    Begin(stream);
-    stream.out += etcd::Frame(message);
-    Resume(stream);
-  }
-  void Finish(Stream& stream, Status status) {
+  void Say(Stream& stream, const std::string& message) { http2().Send(stream.id, message); }
+  void Finish(Stream& stream, const Status& status) {
     stream.finished = true;
-    if (!stream.answered) {
-      // In the trailers alone.
-      stream.answered = true;
-      const std::vector<std::pair<std::string, std::string>> fields = {
-          {":status", "200"},
-          {"content-type", "application/grpc"},
-          {"grpc-status", std::to_string(static_cast<int>(status.code))},
-          {"grpc-message", etcd::EncodeMessage(status.message)}};
-      std::vector<nghttp2_nv> headers;
-      for (const auto& [name, value] : fields) headers.push_back(Pair(name, value));
-      nghttp2_submit_response(session, stream.id, headers.data(), headers.size(), nullptr);
-      return;
-    }
-    stream.status = std::move(status);
-    Resume(stream);
+    http2().Finish(stream.id, status);
   }
-
-  void Start() {
-    if (member.silent) return;
-    socket.async_read_some(asio::buffer(piece), [self = shared_from_this()](ErrorCode error, std::size_t n) {
-      if (!*self->alive || self->closed) return;
-      if (error) return self->Close();
-      if (self->member.silent) return;  // what was read is never looked at
-      const ssize_t taken = nghttp2_session_mem_recv(self->session, self->piece.data(), n);
-      if (taken < 0) {
-        ++self->etcd.protocol_errors_;
-        return self->Close();
-      }
-      self->Flush();
-      if (!self->closed) self->Start();
-    });
-  }
-
-  void Flush() {
-    if (closed || writing || member.silent) return;
-    std::string out = std::exchange(raw, {});
-    for (;;) {
-      const std::uint8_t* data = nullptr;
-      const ssize_t size = nghttp2_session_mem_send(session, &data);
-      if (size <= 0) break;
-      out.append(reinterpret_cast<const char*>(data), static_cast<std::size_t>(size));
-    }
-    if (member.cut_after && out.size() >= *member.cut_after) {
-      out.resize(*member.cut_after);
+  void Flush() { link->Flush(); }
+
+  // What goes out: garbage before it, and the end once the member is to be cut.
+  bool Written(std::string* bytes) {
+    bytes->insert(0, std::exchange(raw, {}));
+    if (!member.cut_after) return true;
+    if (bytes->size() >= *member.cut_after) {
+      bytes->resize(*member.cut_after);
       member.cut_after.reset();
-      ErrorCode ignored;
-      asio::write(socket, asio::buffer(out), ignored);
-      return Close();
-    }
-    if (member.cut_after) *member.cut_after -= out.size();
-    if (out.empty()) {
-      if (close_when_flushed ||
-          (nghttp2_session_want_read(session) == 0 && nghttp2_session_want_write(session) == 0))
-        Close();
-      return;
+      return false;
     }
-    writing = true;
-    auto held = std::make_shared<std::string>(std::move(out));
-    asio::async_write(socket, asio::buffer(*held),
-                      [self = shared_from_this(), held](ErrorCode error, std::size_t) {
-                        self->writing = false;
-                        if (!*self->alive || self->closed) return;
-                        if (error) return self->Close();
-                        self->Flush();
-                      });
-  }
-
-  void Close() {
-    if (std::exchange(closed, true)) return;
-    ErrorCode ignored;
-    socket.close(ignored);
-    const auto self = shared_from_this();
-    member.connections.erase(self);
+    *member.cut_after -= bytes->size();
+    return true;
   }
 
   Etcd& etcd;
   Member& member;
-  tcp::socket socket;
-  std::shared_ptr<bool> alive;
-  nghttp2_session* session = nullptr;
-  std::map<std::int32_t, std::unique_ptr<Stream>> streams;
-  std::array<std::uint8_t, 16384> piece{};
+  std::shared_ptr<etcd::ServerConnection> link;
+  std::map<etcd::StreamId, std::unique_ptr<Stream>> streams;
   std::string raw;
-  bool writing = false, closed = false, close_when_flushed = false;
 };
 
 Etcd::Etcd(asio::io_context& io, EtcdSettings settings)
@@ -271,46 +125,40 @@
 
 Etcd::~Etcd() {
   *alive_ = false;
-  for (auto& member : members_) {
-    const auto connections = member->connections;
-    for (const auto& connection : connections) connection->Close();
-  }
+  for (auto& member : members_) member->server.reset();
 }
 
 tcp::endpoint Etcd::address(std::size_t member) const { return members_[member]->address; }
 
 void Etcd::Up(std::size_t number) {
   Member& member = *members_[number];
-  member.acceptor.emplace(io_);
-  member.acceptor->open(tcp::v4());
-  member.acceptor->set_option(tcp::acceptor::reuse_address(true));
-  member.acceptor->bind(member.address);
-  member.acceptor->listen(128);
-  member.address = member.acceptor->local_endpoint();
-  Accept(number, ++member.turn);
+  etcd::ServerOptions options;
+  options.ping_every = options.idle_timeout = options.stall_timeout = milliseconds(0);
+  options.limits.unsent = kUnsent;
+  options.silent = [&member] { return member.silent; };
+  member.server =
+      std::make_unique<etcd::Server>(io_, member.address, std::move(options),
+                                     [this, &member](const std::shared_ptr<etcd::ServerConnection>& link) {
+                                       return Connected(member, link);
+                                     });
+  member.address = member.server->address();
 }
 
-void Etcd::Down(std::size_t number) {
-  Member& member = *members_[number];
-  ++member.turn;
-  member.acceptor.reset();
-  const auto connections = member.connections;
-  for (const auto& connection : connections) connection->Close();
+etcd::Http2ServerHandler Etcd::Connected(Member& member,
+                                         const std::shared_ptr<etcd::ServerConnection>& link) {
+  const auto connection = std::make_shared<Connection>(*this, member, link);
+  member.connections.insert(connection);
+  link->on_written = [weak = std::weak_ptr<Connection>(connection)](std::string* bytes) {
+    const auto self = weak.lock();
+    return !self || self->Written(bytes);
+  };
+  link->on_disconnected = [&member, weak = std::weak_ptr<Connection>(connection)](const std::string&) {
+    if (const auto self = weak.lock()) member.connections.erase(self);
+  };
+  return connection->Handlers();
 }
 
-void Etcd::Accept(std::size_t number, std::uint64_t turn) {
-  Member& member = *members_[number];
-  member.acceptor->async_accept([this, alive = alive_, number, turn](ErrorCode error, tcp::socket socket) {
-    if (!*alive || members_[number]->turn != turn || error) return;
-    ErrorCode ignored;
-    socket.set_option(tcp::no_delay(true), ignored);
-    const auto connection = std::make_shared<Connection>(*this, *members_[number], std::move(socket));
-    members_[number]->connections.insert(connection);
-    connection->Start();
-    connection->Flush();
-    Accept(number, turn);
-  });
-}
+void Etcd::Down(std::size_t number) { members_[number]->server.reset(); }
 
 void Etcd::CutAfter(std::size_t member, std::size_t bytes) { members_[member]->cut_after = bytes; }
 
@@ -320,7 +168,7 @@
   if (silent) return;
   // What hung on the line is gone for good: the other side has long given it up.
   const auto connections = member.connections;
-  for (const auto& connection : connections) connection->Close();
+  for (const auto& connection : connections) connection->link->Close("silent for too long");
 }
 
 void Etcd::Lag(std::size_t number, bool lag) {
@@ -379,24 +227,20 @@
 
 bool Etcd::Allowed(const Stream& stream) const {
   if (settings_.user.empty()) return true;
-  const auto token = stream.headers.find("token");
-  if (token == stream.headers.end()) return false;
-  const auto known = tokens_.find(token->second);
+  const auto known = tokens_.find(stream.head.token);
   return known != tokens_.end() &&
          (settings_.token_life == milliseconds(0) || Clock::now() - known->second < settings_.token_life);
 }
 
 void Etcd::Handle(Connection& connection, Stream& stream) {
-  const std::string path = stream.headers[":path"];
+  const std::string path = stream.head.path;
   if (stream.finished || stream.waits) return;
   if (path == "/etcdserverpb.Watch/Watch" || path == "/etcdserverpb.Lease/LeaseKeepAlive") {
     // Streams both ways: each message when it comes.
   } else if (!stream.half_closed) {
     return;
   }
-  if (stream.headers[":method"] != "POST" ||
-      stream.headers["content-type"].rfind("application/grpc", 0) != 0 ||
-      stream.headers["te"] != "trailers") {
+  if (!stream.head.IsGrpc()) {
     ++protocol_errors_;
     return connection.Finish(stream, {Code::kInternal, Ending::kStatus, "no gRPC call"});
   }
@@ -407,37 +251,30 @@
     case EtcdFault::kTrailersOnly:
       return connection.Finish(stream, {Code::kUnavailable, Ending::kStatus, "etcdserver: no leader"});
     case EtcdFault::kNoStatus:
-      stream.no_trailers = stream.finished = true;
-      connection.Begin(stream);
+      stream.finished = true;
+      connection.http2().FinishWithoutStatus(stream.id);
       return;
     case EtcdFault::kStatusAlone:
-      connection.Begin(stream);
+      connection.http2().SendFrames(stream.id, "");
       return connection.Finish(stream, {});
     case EtcdFault::kReset:
-      nghttp2_submit_rst_stream(connection.session, NGHTTP2_FLAG_NONE, stream.id, NGHTTP2_INTERNAL_ERROR);
+      connection.http2().Reset(stream.id, etcd::Http2Error::kInternal);
       return;
     case EtcdFault::kRefused:
-      nghttp2_submit_rst_stream(connection.session, NGHTTP2_FLAG_NONE, stream.id, NGHTTP2_REFUSED_STREAM);
+      connection.http2().Reset(stream.id, etcd::Http2Error::kRefusedStream);
       return;
-    case EtcdFault::kHttp503: {
-      stream.answered = stream.finished = true;
-      const std::string name = ":status", value = "503";
-      const nghttp2_nv header = Pair(name, value);
-      nghttp2_submit_response(connection.session, stream.id, &header, 1, nullptr);
+    case EtcdFault::kHttp503:
+      stream.finished = true;
+      connection.http2().AnswerHeaders(stream.id, {{":status", "503"}});
       return;
-    }
     case EtcdFault::kHugeMessage:
-      connection.Begin(stream);
-      stream.out += std::string("\0\x06\x00\x00\x00", 5) + std::string(1000, 'x');
-      connection.Resume(stream);
+      connection.http2().SendFrames(stream.id, std::string("\0\x06\x00\x00\x00", 5) + std::string(1000, 'x'));
       return;
     case EtcdFault::kEndlessHeader: {
-      stream.answered = stream.finished = true;
+      stream.finished = true;
       std::vector<std::pair<std::string, std::string>> fields = {{":status", "200"}};
       for (int i = 0; i < 40; ++i) fields.emplace_back("x-" + std::to_string(i), std::string(1000, 'x'));
-      std::vector<nghttp2_nv> headers;
-      for (const auto& [name, value] : fields) headers.push_back(Pair(name, value));
-      nghttp2_submit_response(connection.session, stream.id, headers.data(), headers.size(), nullptr);
+      connection.http2().AnswerHeaders(stream.id, fields);
       return;
     }
     case EtcdFault::kGarbage:
@@ -445,9 +282,8 @@
       stream.finished = true;
       return;
     case EtcdFault::kGoaway:
-      nghttp2_submit_goaway(connection.session, NGHTTP2_FLAG_NONE, std::max(0, stream.id - 2),
-                            NGHTTP2_NO_ERROR, nullptr, 0);
-      connection.close_when_flushed = true;
+      connection.http2().GoAway(std::max(0, stream.id - 2));
+      connection.link->CloseWhenFlushed();
       stream.finished = true;
       return;
     case EtcdFault::kTwoMessages:
--- a/tests/standins/etcd.h
+++ b/tests/standins/etcd.h
@@ -15,6 +15,7 @@
 #include <string>
 #include <vector>
 
+#include "etcd/server.h"
 #include "standins/etcd_store.h"
 
 namespace badgerbridge::standins {
@@ -86,7 +87,7 @@
   struct Stream;
   friend struct Connection;
 
-  void Accept(std::size_t member, std::uint64_t turn);
+  etcd::Http2ServerHandler Connected(Member& member, const std::shared_ptr<etcd::ServerConnection>& link);
   void Handle(Connection& connection, Stream& stream);
   void HandleWatch(Connection& connection, Stream& stream, std::string_view message);
   void Tick();
