--- a/src/etcd/http2_server.cpp
+++ b/src/etcd/http2_server.cpp
@@ -40,7 +40,12 @@
   static int OnBegin(nghttp2_session*, const nghttp2_frame* frame, void* user) {
     Http2Server& self = Self(user);
     if (frame->headers.cat != NGHTTP2_HCAT_REQUEST || !self.error_.empty()) return 0;
-    self.calls_[frame->hd.stream_id] = std::make_unique<Call>(self.limits_.message);
+    const StreamId stream = frame->hd.stream_id;
+    if (stream > self.last_taken_) {  // it crossed the GOAWAY, which may not have left yet
+      nghttp2_submit_rst_stream(self.session_, NGHTTP2_FLAG_NONE, stream, NGHTTP2_REFUSED_STREAM);
+      return 0;
+    }
+    self.calls_[stream] = std::make_unique<Call>(self.limits_.message);
     return 0;
   }
 
@@ -300,9 +305,8 @@
 void Http2Server::Ping() { nghttp2_submit_ping(session_, NGHTTP2_FLAG_NONE, nullptr); }
 
 void Http2Server::GoAway(std::optional<StreamId> last) {
-  nghttp2_submit_goaway(session_, NGHTTP2_FLAG_NONE,
-                        last.value_or(nghttp2_session_get_last_proc_stream_id(session_)), NGHTTP2_NO_ERROR,
-                        nullptr, 0);
+  last_taken_ = std::min(last_taken_, last.value_or(nghttp2_session_get_last_proc_stream_id(session_)));
+  nghttp2_submit_goaway(session_, NGHTTP2_FLAG_NONE, last_taken_, NGHTTP2_NO_ERROR, nullptr, 0);
 }
 
 bool Http2Server::done() const {
--- a/src/etcd/http2_server.h
+++ b/src/etcd/http2_server.h
@@ -119,6 +119,7 @@
   std::map<StreamId, std::unique_ptr<Call>> calls_;
   std::size_t unsent_ = 0;
   std::uint64_t pongs_ = 0;
+  StreamId last_taken_ = INT32_MAX;  // no call beyond it, by GoAway
   std::string error_;
 };
 
--- a/tests/etcd/http2_server_test.cpp
+++ b/tests/etcd/http2_server_test.cpp
@@ -51,14 +51,14 @@
     }
   }
 
-  std::unique_ptr<Http2Server> server;
-  std::unique_ptr<Http2Client> client;
   std::function<void(StreamId)> on_call, on_message;
   std::vector<StreamId> calls;
   std::vector<std::string> paths, received, answers, violations;
   std::vector<Status> ends;
   int half_closed = 0, closed = 0;
   bool all_grpc = true;
+  std::unique_ptr<Http2Server> server;
+  std::unique_ptr<Http2Client> client;  // tells the above of open calls at its end
 };
 
 TEST_F(Http2ServerTest, AnswersWithMessagesAndAStatus) {
