Split the regions' decider by idea, with shorter functions; nothing but moves

It keeps the course of a decision (Start, Decide) and what Decide did in place: Before, Count, HasNewMembers, Describe, AwaitRoom.

- decider_members.cpp: Follow, Admits, Hold, Demand, and out of Start CountVanished.
- decider_epochs.cpp: Fold, Ceiling, StandbyOf, out of Decide FollowEpochs and CeilingWith, out of Grow MostSince, FirstOf, MostOf, LeastOf.
- decider_zones.cpp: Look (now AddUp and LookAtPair), Learn, Able, GiveFirstRoom, Judge (now SignsOf, Enter, WordOf, and one function a state).
- decider_grants.cpp: Spread, FallsBack, Worthwhile, Allocate (now KeptByLost, NeedsOf, Standby), Grow (now GrowAt for one receiver).

--- a/src/regions/decider.h
+++ b/src/regions/decider.h
@@ -120,25 +120,67 @@
     int count = 0;
   };
 
+  struct Sums;
+  struct Signs;
+  struct Needs;
+
+  // decider.cpp: the next decision.
   void Start(TimePoint now, const Snapshot& snapshot);
+  Decision Before(const Snapshot& snapshot) const;
+  void Count(TimePoint now, const Snapshot& snapshot, const Decision& before, std::uint64_t oldest,
+             Decision* next);
+  bool HasNewMembers(const Snapshot& snapshot, const Decision& before) const;
+  void Describe(TimePoint now, const Snapshot& snapshot, const std::vector<Seen>& seen,
+                const std::vector<double>& demand, Decision* next) const;
+  void AwaitRoom(TimePoint now, const Snapshot& snapshot, const Decision& before,
+                 const std::vector<double>& demand, Decision* next);
+
+  // decider_members.cpp: who is there, and who has vanished.
+  void CountVanished(TimePoint now, const Snapshot& snapshot);
   void Follow(TimePoint now, const Snapshot& snapshot);
-  std::vector<Seen> Look(TimePoint now, const Snapshot& snapshot);
-  void Judge(TimePoint now, std::size_t zone, const Seen& seen, const std::string& evacuated);
-  void Learn(TimePoint now, Case* zone, const Seen& seen) const;
-  static double Able(const Case& zone);
   static bool Admits(const Decision& decision, const Word& word);
   std::vector<Holders> Hold(TimePoint now, const Snapshot& snapshot, const Decision& next) const;
+  std::vector<double> Demand(const Snapshot& snapshot);
+
+  // decider_epochs.cpp: the epochs that may be in force.
+  std::uint64_t FollowEpochs(TimePoint now, const Snapshot& snapshot);
   void Fold();
   Matrix Ceiling() const;
+  Matrix CeilingWith(const Decision& next);
   std::vector<double> StandbyOf(int zone) const;
-  std::vector<double> Demand(const Snapshot& snapshot);
+  std::vector<Matrix> MostSince() const;
+  std::size_t FirstOf(const Holders& group) const;
+  double MostOf(const std::vector<Matrix>& since, const Holders& group, std::size_t r) const;
+  double LeastOf(const std::vector<Matrix>& since, const Holders& group, std::size_t r) const;
+
+  // decider_zones.cpp: what members see of each zone, its state and its limit.
+  Sums AddUp(const Snapshot& snapshot, std::vector<Seen>* seen) const;
+  void LookAtPair(TimePoint at, std::size_t o, std::size_t r, int members, Pair* pair, Seen* seen) const;
+  std::vector<Seen> Look(TimePoint now, const Snapshot& snapshot);
+  void Learn(TimePoint now, Case* zone, const Seen& seen) const;
+  static double Able(const Case& zone);
+  static Signs SignsOf(const Case& zone, const Seen& seen);
+  static void Enter(TimePoint now, ZoneState state, double limit, std::string why, Case* zone);
+  static std::string WordOf(const Seen& seen, const char* what);
+  void Judge(TimePoint now, std::size_t zone, const Seen& seen, const std::string& evacuated);
+  void JudgeSound(TimePoint now, const Seen& seen, const Signs& signs, Case* zone) const;
+  void JudgeLimping(TimePoint now, const Seen& seen, const Signs& signs, Case* zone) const;
+  static void JudgeDark(TimePoint now, const Seen& seen, const Signs& signs, Case* zone);
+  void JudgeReturning(TimePoint now, const Seen& seen, const Signs& signs, Case* zone) const;
+  void GiveFirstRoom(const Snapshot& snapshot);
+
+  // decider_grants.cpp: what each origin may ask of each receiver.
+  std::vector<double> KeptByLost(const Decision& next) const;
+  Needs NeedsOf(const std::vector<double>& demand, const std::vector<double>& kept) const;
+  // Gives `want` of each origin to the nearest receivers that have room, and takes it off `room`.
+  Matrix Spread(std::vector<double> want, std::vector<double>* room) const;
+  Matrix Standby(const std::vector<double>& demand, double all, const std::vector<double>& room) const;
   void Allocate(const std::vector<double>& demand, const std::vector<Holders>& holders, Decision* next);
   void Grow(const Matrix& wanted, const std::vector<double>& home, const std::vector<double>& most,
             const std::vector<Holders>& holders, Decision* next) const;
+  void GrowAt(std::size_t r, const Matrix& wanted, double home, double most, const std::vector<Matrix>& since,
+              const std::vector<Holders>& holders, const std::vector<int>& vanished, Decision* next) const;
   bool FallsBack(const Decision& other, const Decision& next) const;
-  // Gives `want` of each origin to the nearest receivers that have room, and takes it off `room`.
-  Matrix Spread(std::vector<double> want, std::vector<double>* room) const;
-  void GiveFirstRoom(const Snapshot& snapshot);
   bool Worthwhile(TimePoint now, const Decision& before, const Decision& next) const;
 
   const Rules rules_;
