--- /dev/null
+++ b/bench/scale_rig/source_process.cpp
@@ -0,0 +1,230 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+#include <map>
+#include <stdexcept>
+
+#include "api/address.h"
+#include "membership/value.h"
+#include "scale_rig/control_channel.h"
+#include "scale_rig/json.h"
+#include "scale_rig/roles.h"
+#include "scale_rig/tcp_bytes.h"
+#include "standins/etcd.h"
+
+namespace badgerbridge::scale {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+namespace pb = etcdserverpb;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr std::size_t kPage = 1000;            // of a list, as the proxy's client asks for it
+constexpr std::size_t kWritesPublished = 100;  // together, where a zone's backends go: one commit's batch
+
+class SourceProcess {
+ public:
+  explicit SourceProcess(asio::io_context& io)
+      : io_(io),
+        timer_(io),
+        commands_(io, [this](const auto& command, auto reply) { Carry(command, reply); }) {}
+
+ private:
+  void Carry(const json::object& command, const CommandServer::Reply& reply) {
+    const std::string_view what = command.at("command").as_string();
+    if (what == "open") return reply(Open(command));
+    if (!etcd_) throw std::runtime_error("not open yet");
+    if (what == "write") return Write_(command, reply);
+    if (what == "zone") return reply(Zone(command));
+    if (what == "digests") return reply(Digests());
+    if (what == "silence") return reply(Silence(command));
+    if (what == "status") return reply(Status());
+    if (what == "speed") return reply(Speed());
+    throw std::runtime_error("unknown command " + std::string(what));
+  }
+
+  json::object Open(const json::object& command) {
+    size_ = SizeFrom(command.at("size").as_object());
+    standins::EtcdSettings settings;
+    settings.members = static_cast<int>(NumberAt(command, "members"));
+    settings.progress_every = std::chrono::minutes(10);  // as etcd has it: clients have to ask
+    etcd_.emplace(io_, settings);
+    std::vector<std::pair<std::string, std::string>> pairs;
+    for (std::size_t i = 0; i < size_.backends; ++i) {
+      members_.push_back(BackendAt(i));
+      pairs.emplace_back(KeyOf(size_, i), ValueOf(members_.back()));
+    }
+    etcd_->store().PutAll(pairs);
+    json::array addresses;
+    for (int i = 0; i < settings.members; ++i)
+      addresses.emplace_back(api::ToText(etcd_->address(static_cast<std::size_t>(i))));
+    return {{"addresses", std::move(addresses)}};
+  }
+
+  Write PutNow(std::size_t backend) {
+    const std::int64_t at = NowNs();
+    etcd_->Put(KeyOf(size_, backend), ValueOf(members_[backend]));
+    const double ms = static_cast<double>(NowNs() - at) / 1e6;
+    publish_ms_.push_back(ms);
+    return {static_cast<std::uint64_t>(etcd_->store().revision()), at, ServiceOf(size_, backend)};
+  }
+
+  // Paced; answers once all are written, with how long each took to be written to all connections.
+  void Write_(const json::object& command, const CommandServer::Reply& reply) {
+    if (!left_.empty()) throw std::runtime_error("writes are under way");
+    for (const std::size_t backend : NumbersIn(command, "backends")) left_.push_back(backend);
+    kind_ = TextAt(command, "kind");
+    every_ = milliseconds(command.at("every_ms").to_number<int>());
+    written_.clear();
+    publish_ms_.clear();
+    reply_ = reply;
+    next_write_ = steady_clock::now();
+    WriteNext();
+  }
+
+  void WriteNext() {
+    if (left_.empty()) {
+      json::array publish;
+      for (const double ms : publish_ms_) publish.push_back(ms);
+      return reply_({{"writes", std::move(written_)}, {"publish_ms", std::move(publish)}});
+    }
+    membership::Member& member = members_[left_.front()];
+    if (kind_ == "change") member.weight += 1;
+    if (kind_ == "drain") member.state = membership::State::kDraining;
+    if (kind_ == "ready") member.state = membership::State::kReady;
+    written_.push_back(ToJson(PutNow(left_.front())));
+    left_.erase(left_.begin());
+    next_write_ += every_;
+    timer_.expires_at(next_write_);
+    timer_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) WriteNext();
+    });
+  }
+
+  // Answers with the last revision of each service that was touched.
+  json::object Zone(const json::object& command) {
+    const auto zone = command.at("zone").to_number<std::size_t>();
+    const bool gone = command.at("gone").as_bool();
+    const std::int64_t at = NowNs();
+    std::map<std::size_t, Write> last;
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < size_.backends; ++i) {
+      if (ZoneOf(i) != zone) continue;
+      ChangePresence(i, !gone);
+      const std::size_t service = ServiceOf(size_, i);
+      last[service] = {static_cast<std::uint64_t>(etcd_->store().revision()), at, service};
+      if (++count % kWritesPublished == 0) etcd_->Publish();
+    }
+    etcd_->Publish();
+    json::array writes;
+    for (const auto& [service, write] : last) writes.push_back(ToJson(write));
+    return {{"writes", std::move(writes)},
+            {"backends", count},
+            {"publish_ms", static_cast<double>(NowNs() - at) / 1e6}};
+  }
+
+  void ChangePresence(std::size_t backend, bool present) {
+    if (present) {
+      pb::PutRequest put;
+      put.set_key(KeyOf(size_, backend));
+      put.set_value(ValueOf(members_[backend]));
+      pb::PutResponse response;
+      etcd_->store().Put(put, &response);
+    } else {
+      pb::DeleteRangeRequest removal;
+      removal.set_key(KeyOf(size_, backend));
+      pb::DeleteRangeResponse response;
+      etcd_->store().DeleteRange(removal, &response);
+    }
+  }
+
+  // From what the store holds, read as a client would, and not from what was meant to be written.
+  json::object Digests() {
+    pb::RangeRequest request;
+    request.set_key(WholePrefix(size_));
+    request.set_range_end(membership::EndOfPrefix(WholePrefix(size_)));
+    pb::RangeResponse response;
+    etcd_->store().Range(request, &response);
+    std::map<std::size_t, KeyIndex> keys;
+    std::map<std::size_t, StateDigest> digests;
+    for (const pb::KeyValue& kv : response.kvs()) {
+      const std::string name = kv.key().substr(kv.key().rfind('/') + 1);
+      membership::Member member;
+      if (ReadMember(name, kv.value(), &member)) throw std::runtime_error("a value that can't be read");
+      const std::size_t service = ServiceOf(size_, std::stoull(name.substr(name.rfind('-') + 1)));
+      digests.try_emplace(service, &keys[service]).first->second.Put(name, VersionOf(member));
+    }
+    json::array all;
+    for (std::size_t service = 0; service < size_.services; ++service) {
+      const auto digest = digests.find(service);
+      const DigestValue value = digest == digests.end() ? DigestValue() : digest->second.value();
+      all.push_back(json::object{{"service", service}, {"sum", value.sum}, {"count", value.count}});
+    }
+    return {{"digests", std::move(all)}, {"revision", etcd_->store().revision()}};
+  }
+
+  json::object Silence(const json::object& command) {
+    etcd_->Silence(command.at("member").to_number<std::size_t>(), command.at("silent").as_bool());
+    return {};
+  }
+
+  json::object Status() {
+    const TcpBytes tcp = tcp_.Sample();
+    return {{"calls", etcd_->calls()},
+            {"watches", etcd_->watches()},
+            {"received", tcp.received},
+            {"sent", tcp.sent},
+            {"connections", tcp.connections},
+            {"protocol_errors", etcd_->protocol_errors()},
+            {"revision", etcd_->store().revision()}};
+  }
+
+  json::object Speed() {
+    pb::RangeRequest request;
+    request.set_key(WholePrefix(size_));
+    request.set_range_end(membership::EndOfPrefix(WholePrefix(size_)));
+    request.set_limit(static_cast<std::int64_t>(kPage));
+    std::size_t pages = 0, entries = 0, bytes = 0;
+    const std::int64_t began = NowNs();
+    while (pages < 20 || NowNs() - began < 100000000) {
+      pb::RangeResponse response;
+      etcd_->store().Range(request, &response);
+      bytes += response.SerializeAsString().size();
+      entries += static_cast<std::size_t>(response.kvs_size());
+      ++pages;
+    }
+    const double seconds = static_cast<double>(NowNs() - began) / 1e9;
+    return {{"page_ms", seconds * 1e3 / static_cast<double>(pages)},
+            {"entries_per_second", static_cast<double>(entries) / seconds},
+            {"bytes_per_entry", static_cast<double>(bytes) / static_cast<double>(entries)}};
+  }
+
+  asio::io_context& io_;
+  TcpByteCounter tcp_;  // sampled when asked: what connections carried that ended between is not in it
+  Size size_;
+  std::optional<standins::Etcd> etcd_;
+  std::vector<membership::Member> members_;  // as last written
+  std::vector<std::size_t> left_;            // to be written
+  std::string kind_;
+  milliseconds every_{0};
+  steady_clock::time_point next_write_;
+  json::array written_;
+  std::vector<double> publish_ms_;
+  CommandServer::Reply reply_;
+  asio::steady_timer timer_;
+  CommandServer commands_;
+};
+
+}  // namespace
+
+int RunSource() {
+  asio::io_context io(1);
+  SourceProcess process(io);
+  io.run();
+  return 0;
+}
+
+}  // namespace badgerbridge::scale
