--- a/bench/scale_rig/hollow_process.cpp
+++ b/bench/scale_rig/hollow_process.cpp
@@ -11,6 +11,7 @@
 
 #include "api/address.h"
 #include "etcd/http2.h"
+#include "etcd/key_range.h"
 #include "membership/value.h"
 #include "scale_rig/control_channel.h"
 #include "scale_rig/hollow_proxy.h"
@@ -40,7 +41,7 @@
     etcdserverpb::WatchRequest request;
     auto* create = request.mutable_create_request();
     create->set_key(prefix);
-    create->set_range_end(membership::EndOfPrefix(prefix));
+    create->set_range_end(etcd::PrefixRangeEnd(prefix));
     http2_.Begin("/etcdserverpb.Watch/Watch", {}, request.SerializeAsString(), false, {});
     asio::write(socket_, asio::buffer(http2_.TakeOutput()));
   }
--- a/bench/scale_rig/hollow_proxy.cpp
+++ b/bench/scale_rig/hollow_proxy.cpp
@@ -35,7 +35,7 @@
     }
     membership::EtcdSourceSettings settings;
     settings.endpoints = endpoints;
-    settings.feed.prefix = PrefixOf(size, service);
+    settings.follower.prefix = PrefixOf(size, service);
     follow.source.emplace(
         io, settings, size.seed + number * 7919 + service,
         [this, &follow](Time now, const Report& report) { Take(follow, now, report); },
@@ -84,8 +84,8 @@
 }
 
 std::uint64_t HollowProxy::revision() const {
-  std::int64_t least = follows_.front()->source->feed().revision();
-  for (const auto& follow : follows_) least = std::min(least, follow->source->feed().revision());
+  std::int64_t least = follows_.front()->source->follower().revision();
+  for (const auto& follow : follows_) least = std::min(least, follow->source->follower().revision());
   return static_cast<std::uint64_t>(least);
 }
 
@@ -110,13 +110,13 @@
 
 std::uint64_t HollowProxy::lists() const {
   std::uint64_t sum = 0;
-  for (const auto& follow : follows_) sum += follow->source->feed().lists();
+  for (const auto& follow : follows_) sum += follow->source->follower().snapshots();
   return sum;
 }
 
 std::uint64_t HollowProxy::resumes() const {
   std::uint64_t sum = 0;
-  for (const auto& follow : follows_) sum += follow->source->feed().resumes();
+  for (const auto& follow : follows_) sum += follow->source->follower().resumes();
   return sum;
 }
 
@@ -129,7 +129,7 @@
 
 std::string HollowProxy::last_trouble() const {
   for (const auto& follow : follows_) {
-    if (!follow->source->feed().last_trouble().empty()) return follow->source->feed().last_trouble();
+    if (!follow->source->follower().last_error().empty()) return follow->source->follower().last_error();
   }
   return "";
 }
--- a/bench/scale_rig/source_process.cpp
+++ b/bench/scale_rig/source_process.cpp
@@ -6,6 +6,7 @@
 #include <stdexcept>
 
 #include "api/address.h"
+#include "etcd/key_range.h"
 #include "membership/value.h"
 #include "scale_rig/control_channel.h"
 #include "scale_rig/json.h"
@@ -145,7 +146,7 @@
   json::object Digests() {
     pb::RangeRequest request;
     request.set_key(WholePrefix(size_));
-    request.set_range_end(membership::EndOfPrefix(WholePrefix(size_)));
+    request.set_range_end(etcd::PrefixRangeEnd(WholePrefix(size_)));
     pb::RangeResponse response;
     etcd_->store().Range(request, &response);
     std::map<std::size_t, KeyIndex> keys;
@@ -185,7 +186,7 @@
   json::object Speed() {
     pb::RangeRequest request;
     request.set_key(WholePrefix(size_));
-    request.set_range_end(membership::EndOfPrefix(WholePrefix(size_)));
+    request.set_range_end(etcd::PrefixRangeEnd(WholePrefix(size_)));
     request.set_limit(static_cast<std::int64_t>(kPage));
     std::size_t pages = 0, entries = 0, bytes = 0;
     const std::int64_t began = NowNs();
