--- a/bench/least_squares.h
+++ b/bench/least_squares.h
@@ -22,8 +22,9 @@
   double slope = 0;
   double constant = 0;
   double root_mean_square_residual = 0;
-  double worst_relative_residual = 0;  // the largest |measured - fitted| / |measured|; points with y = 0 left out
-  double r_squared = 0;                // share of y's variance that the line explains; 1 where y does not vary
+  double worst_relative_residual =
+      0;                 // the largest |measured - fitted| / |measured|; points with y = 0 left out
+  double r_squared = 0;  // share of y's variance that the line explains; 1 where y does not vary
   double smallest_x = 0;
   double largest_x = 0;
   std::size_t points = 0;
@@ -56,8 +57,7 @@
     residual_squares += residual * residual;
     variance_squares += (point.y - mean) * (point.y - mean);
     if (point.y != 0) {
-      line->worst_relative_residual =
-          std::max(line->worst_relative_residual, std::abs(residual / point.y));
+      line->worst_relative_residual = std::max(line->worst_relative_residual, std::abs(residual / point.y));
     }
   }
   line->root_mean_square_residual = std::sqrt(residual_squares / static_cast<double>(points.size()));
--- /dev/null
+++ b/bench/slopes_membership.cpp
@@ -0,0 +1,226 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The ledger, and the way of a list and of a change from etcd's messages to it.
+#include <algorithm>
+#include <random>
+
+#include "allocations.h"
+#include "etcd.pb.h"
+#include "etcd/grpc.h"
+#include "membership/feed.h"
+#include "membership/ledger.h"
+#include "membership/value.h"
+#include "slopes.h"
+#include "slopes_names.h"
+
+namespace badgerbridge::bench {
+namespace {
+
+namespace pb = etcdserverpb;
+using membership::Feed;
+using membership::Member;
+using membership::Time;
+
+constexpr int kSizes[] = {1000, 3000, 10000, 30000, 100000, kBackends};
+constexpr int kRepetitions = 3;
+constexpr int kChanges = 200;
+constexpr std::size_t kFrameBytes = 5;  // gRPC's prefix of a message
+constexpr std::uint64_t kCluster = 0x8e9e05c52164694dULL, kMember = 0xcf1d15c5d194b5c9ULL;
+
+membership::Settings LedgerSettings() {
+  membership::Settings settings;
+  settings.sources = {{"etcd", true, Time(5000), Time(60000)},
+                      {"discovery", false, Time(10000), Time(60000)}};
+  return settings;
+}
+
+membership::Report ReportOf(std::uint64_t version, bool whole, std::vector<Member> members) {
+  membership::Report report;
+  report.epoch = kCluster;
+  report.version = version;
+  report.whole = report.certain = whole;
+  report.members = std::move(members);
+  return report;
+}
+
+double ChangeUs(membership::Ledger& ledger, int size) {
+  std::mt19937_64 random(3);
+  std::uint64_t version = 1;
+  double took = 0;
+  for (int i = 0; i < kChanges; ++i) {
+    Member member = BackendMember(static_cast<int>(random() % static_cast<unsigned>(size)));
+    member.state = i % 2 ? membership::State::kReady : membership::State::kDraining;
+    const membership::Report report = ReportOf(++version, false, {member});
+    std::vector<Member> changes;
+    const double before = ThreadCpuMs();
+    ledger.Take(Time(1000 + i), report, &changes);
+    took += ThreadCpuMs() - before;
+  }
+  return took * 1000 / kChanges;
+}
+
+void Fill(pb::ResponseHeader* header, std::int64_t revision) {
+  header->set_cluster_id(kCluster);
+  header->set_member_id(kMember);
+  header->set_revision(revision);
+  header->set_raft_term(7);
+}
+
+void Fill(pb::KeyValue* kv, const std::string& prefix, const Member& member, std::int64_t revision) {
+  kv->set_key(prefix + member.name);
+  kv->set_value(ValueOf(member));
+  kv->set_create_revision(revision);
+  kv->set_mod_revision(revision);
+  kv->set_version(1);
+  kv->set_lease(0x694d7c9a6b1f0a01LL);
+}
+
+constexpr std::int64_t kListedAt = 5000000;
+
+// The pages of a whole list, as etcd would send them.
+std::vector<std::string> Pages(const std::string& prefix, int size, int page) {
+  std::vector<std::string> pages;
+  for (int from = 0; from < size; from += page) {
+    pb::RangeResponse response;
+    Fill(response.mutable_header(), kListedAt);
+    for (int i = from; i < std::min(size, from + page); ++i)
+      Fill(response.add_kvs(), prefix, BackendMember(i), kListedAt - i);
+    response.set_more(from + page < size);
+    response.set_count(size - from);
+    pages.push_back(response.SerializeAsString());
+  }
+  return pages;
+}
+
+// A feed that is asked for its list.
+Feed Listing(const membership::FeedSettings& settings) {
+  Feed feed(settings, 1);
+  Feed::Actions actions;
+  feed.Tick(Time(0), &actions);
+  feed.Opened(Time(1), &actions);
+  return feed;
+}
+
+struct Listed {
+  double cpu_ms = 0;
+  std::vector<Member> members;
+};
+
+Listed TakePages(Feed& feed, const std::vector<std::string>& pages) {
+  Listed listed;
+  const double before = ThreadCpuMs();
+  Feed::Actions actions;
+  for (const std::string& page : pages) {
+    pb::RangeResponse response;
+    response.ParseFromString(page);
+    feed.Ranged(Time(2), {}, response, &actions);
+  }
+  listed.cpu_ms = ThreadCpuMs() - before;
+  for (Feed::Action& action : actions) {
+    if (auto* tell = std::get_if<Feed::Tell>(&action)) listed.members = std::move(tell->report.members);
+  }
+  return listed;
+}
+
+std::string ChangesMessage(const std::string& prefix, int count) {
+  pb::WatchResponse response;
+  Fill(response.mutable_header(), kListedAt + 1);
+  for (int i = 0; i < count; ++i) {
+    Member member = BackendMember(i);
+    member.state = membership::State::kDraining;
+    Fill(response.add_events()->mutable_kv(), prefix, member, kListedAt + 1);
+  }
+  return response.SerializeAsString();
+}
+
+double TakeChangesMs(Feed feed, const std::string& message) {
+  Feed::Actions actions;
+  const double before = ThreadCpuMs();
+  pb::WatchResponse response;
+  response.ParseFromString(message);
+  feed.Watched(Time(3), response, &actions);
+  return ThreadCpuMs() - before;
+}
+
+}  // namespace
+
+void MeasureLedger(Report& report) {
+  Series memory("ledger: memory", "bytes", "members");
+  Series whole("ledger: a whole list, CPU", "ms", "members");
+  Series same("ledger: the same whole list again, CPU", "ms", "members");
+  Series change("ledger: one change, CPU", "us", "members");
+  bool holds_all = false;
+  for (int repetition = 0; repetition < kRepetitions; ++repetition) {
+    for (const int size : kSizes) {
+      const membership::Report list = ReportOf(1, true, BackendMembers(size));
+      membership::Ledger ledger(LedgerSettings());
+      const std::size_t live = LiveBytes();
+      std::vector<Member> changes;
+      const double before = ThreadCpuMs();
+      const bool taken = ledger.Take(Time(1000), list, &changes);
+      const double took = ThreadCpuMs() - before;
+      const std::size_t told = changes.size();
+      std::vector<Member>().swap(changes);
+      if (size == kBackends) holds_all = taken;
+      report.checks.Expect(taken || ledger.believed().empty(), "ledger: a list that is refused changes it");
+      if (!taken) continue;
+      report.checks.Expect(told == static_cast<std::size_t>(size), "ledger: not all members are told on");
+      memory.Add(size, static_cast<double>(LiveBytes() - live));
+      whole.Add(size, took);
+      const double again = ThreadCpuMs();
+      ledger.Take(Time(1000), list, &changes);
+      same.Add(size, ThreadCpuMs() - again);
+      report.checks.Expect(changes.empty(), "ledger: an unchanged list is told on");
+      change.Add(size, ChangeUs(ledger, size));
+    }
+  }
+  report.Fit(memory, "ledger_bytes_per_member");
+  report.Fit(whole, "ledger_whole_list_ms_per_member", Weighting::kAbsolute);
+  report.Fit(same, "ledger_same_list_ms_per_member", Weighting::kAbsolute);
+  report.Fit(change, "ledger_change_us_per_member", Weighting::kAbsolute);
+  report.Figure("ledger_change_us", change.Points().back().y, "ledger: one change at the largest size, us");
+  report.Figure("ledger_takes_110000", holds_all ? 1 : 0,
+                "ledger: takes a list of 110,000 (1) or refuses it (0)");
+}
+
+void MeasureFeed(Report& report) {
+  const membership::FeedSettings settings;
+  Series bytes("feed: a whole list on the wire (messages with gRPC's prefix)", "bytes", "members");
+  Series pages_sent("feed: calls for a whole list", "calls", "members");
+  Series parse("feed: a whole list read, CPU", "ms", "members");
+  Series held("feed: memory while a whole list is read, at its peak", "bytes", "members");
+  Series event_bytes("feed: one revision of a watch on the wire", "bytes", "changes");
+  Series event_parse("feed: one revision of a watch read, CPU", "us", "changes");
+  for (int repetition = 0; repetition < kRepetitions; ++repetition) {
+    for (const int size : kSizes) {
+      const std::vector<std::string> pages = Pages(settings.prefix, size, static_cast<int>(settings.page));
+      double total = 0;
+      for (const std::string& page : pages) total += static_cast<double>(page.size() + kFrameBytes);
+      bytes.Add(size, total);
+      pages_sent.Add(size, static_cast<double>(pages.size()));
+      Feed feed = Listing(settings);
+      const std::size_t live = LiveBytes();
+      ResetPeak();
+      const Listed listed = TakePages(feed, pages);
+      parse.Add(size, listed.cpu_ms);
+      held.Add(size, static_cast<double>(PeakBytes() - live));
+      report.checks.Expect(listed.members.size() == static_cast<std::size_t>(size),
+                           "feed: members are missing");
+    }
+    Feed feed = Listing(settings);
+    TakePages(feed, Pages(settings.prefix, 1000, 1000));
+    for (const int changes : {1, 10, 100, 1000, 4583, 13750}) {
+      const std::string message = ChangesMessage(settings.prefix, changes);
+      event_bytes.Add(changes, static_cast<double>(message.size() + kFrameBytes));
+      event_parse.Add(changes, TakeChangesMs(feed, message) * 1000);
+    }
+  }
+  report.Fit(bytes, "feed_list_bytes_per_member");
+  report.Fit(pages_sent, "feed_list_calls_per_member", Weighting::kAbsolute);
+  report.Fit(parse, "feed_list_ms_per_member", Weighting::kAbsolute);
+  report.Fit(held, "feed_list_peak_bytes_per_member");
+  report.Fit(event_bytes, "feed_event_bytes_per_change");
+  report.Fit(event_parse, "feed_event_us_per_change", Weighting::kAbsolute);
+}
+
+}  // namespace badgerbridge::bench
--- /dev/null
+++ b/bench/slopes_proxy.cpp
@@ -0,0 +1,198 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// What a whole proxy holds of its backends, from the list as discovery gives it to the module: the ledger,
+// names and ids, the pool, the module, and what the regions keep. The product's own parts, without sockets.
+#include "slopes_proxy.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
+#include <chrono>
+#include <optional>
+#include <thread>
+
+#include "allocations.h"
+#include "app/membership_source.h"
+#include "app/regions_source.h"
+#include "node/backend.h"
+#include "node/clock.h"
+#include "node/discovery.h"
+#include "node/proxy.h"
+#include "slopes.h"
+#include "slopes_configuration.h"
+#include "slopes_names.h"
+
+namespace badgerbridge::bench {
+namespace {
+
+constexpr int kSizes[] = {1000, 3000, 10000, 30000, 100000};
+constexpr int kRepetitions = 3;
+constexpr int kChanges = 30;
+constexpr std::chrono::milliseconds kRest{
+    60};  // lists that come sooner are put off (app/membership_source.cpp)
+
+node::Listed ListedOf(int index) {
+  node::Listed listed;
+  listed.name = BackendName(index);
+  listed.zone = ZoneName(index % kZones);
+  listed.kind = "standard";
+  listed.address = api::ParseAddress(BackendAddress(index));
+  listed.group = index / 16;
+  listed.since_ms = 1.79e12 + index * 1000.0;
+  return listed;
+}
+
+std::vector<node::Listed> ListedUpTo(int count) {
+  std::vector<node::Listed> listed;
+  for (int i = 0; i < count; ++i) listed.push_back(ListedOf(i));
+  return listed;
+}
+
+// Everything between the source of the list and the module. Discovery is the authority, so that whole lists
+// can be handed in without a connection; the way through the ledger is the same as for etcd's.
+class ProxyRig {
+ public:
+  explicit ProxyRig(bool with_ledger, bool with_regions)
+      : config_(ConfigurationOf(0)),
+        backends_(io_, clock_, node::Backends::Limits::From(config_)),
+        proxy_(io_, clock_, backends_, config_),
+        reader_(config_) {
+    if (with_regions) {
+      operator_file::Regions settings;
+      settings.together = false;
+      settings.zones = config_.zones;
+      regions_.emplace(io_, clock_, config_, settings, [](std::vector<double>) {});
+      proxy_.Watch(&*regions_);
+    }
+    if (!with_ledger) return;
+    operator_file::Etcd settings;
+    settings.endpoints = {"127.0.0.1:1"};
+    settings.authority = false;
+    membership_.emplace(io_, config_, settings, [this](const node::EndpointList& list) {
+      proxy_.UpdateList(node::ListKind::kDelta, list);
+    });
+  }
+
+  // CPU in ms.
+  double Take(bool whole, const std::vector<node::Listed>& listed) {
+    const double before = ThreadCpuMs();
+    {
+      const node::EndpointList list = reader_.Take(whole, ++index_, listed);
+      if (membership_) {
+        membership_->Discovered(list);
+      } else {
+        proxy_.UpdateList(whole ? node::ListKind::kFull : node::ListKind::kDelta, list);
+      }
+    }
+    const double took = ThreadCpuMs() - before;
+    // What was put off, to leave the loop to others: its turn comes within 50 ms.
+    io_.restart();
+    io_.poll();
+    return took;
+  }
+
+  std::size_t pooled() const { return backends_.known(); }
+  app::MembershipSource* membership() { return membership_ ? &*membership_ : nullptr; }
+
+ private:
+  boost::asio::io_context io_{1};
+  node::NodeClock clock_;
+  node::Config config_;
+  node::Backends backends_;
+  node::Proxy proxy_;
+  node::ListReader reader_;
+  std::optional<app::RegionsSource> regions_;
+  std::optional<app::MembershipSource> membership_;
+  std::uint64_t index_ = 0;
+};
+
+double ReaderBytes(const node::Config& config, const std::vector<node::Listed>& listed) {
+  const std::size_t before = LiveBytes();
+  node::ListReader reader(config);
+  reader.Take(true, 1, listed);
+  return static_cast<double>(LiveBytes() - before);
+}
+
+double PoolBytes(const node::Config& config, const std::vector<node::Listed>& listed) {
+  boost::asio::io_context io(1);
+  node::NodeClock clock;
+  node::ListReader reader(config);
+  const node::EndpointList list = reader.Take(true, 1, listed);
+  node::Backends backends(io, clock, node::Backends::Limits::From(config));
+  const std::size_t before = LiveBytes();
+  backends.Update(list);
+  return static_cast<double>(LiveBytes() - before);
+}
+
+double ChangeUs(ProxyRig& rig, int size) {
+  double took = 0;
+  std::this_thread::sleep_for(kRest);
+  for (int i = 0; i < kChanges; ++i) {
+    node::Listed one = ListedOf(i * 97 % size);
+    one.state = i % 2 ? node::ServerState::kReady : node::ServerState::kDraining;
+    const double ms = rig.Take(false, {one});
+    took += ms;
+    std::this_thread::sleep_for(std::chrono::duration<double, std::milli>(1 + 10 * ms));
+  }
+  return took * 1000 / kChanges;
+}
+
+}  // namespace
+
+boost::json::value DescribedMembers(int backends) {
+  ProxyRig rig(true, false);
+  rig.Take(true, ListedUpTo(backends));
+  return rig.membership()->Describe();
+}
+
+void MeasureProxy(Report& report) {
+  Series reader("proxy: names and ids, memory", "bytes", "backends");
+  Series pool("proxy: pool, memory", "bytes", "backends");
+  Series plain("proxy: all without ledger, memory", "bytes", "backends");
+  Series all("proxy: all with ledger and regions, memory", "bytes", "backends");
+  Series peak("proxy: all with ledger and regions, memory at the peak of a whole list", "bytes", "backends");
+  Series whole("proxy: a whole list from source to module, CPU in one event", "ms", "backends");
+  Series change("proxy: one change from source to module, CPU", "us", "backends");
+  Series described("proxy: the ledger described for people, JSON", "bytes", "backends");
+  Series describing("proxy: the ledger described for people, CPU", "ms", "backends");
+  const node::Config config = ConfigurationOf(0);
+  for (int repetition = 0; repetition < kRepetitions; ++repetition) {
+    for (const int size : kSizes) {
+      const std::vector<node::Listed> listed = ListedUpTo(size);
+      reader.Add(size, ReaderBytes(config, listed));
+      pool.Add(size, PoolBytes(config, listed));
+      {
+        const std::size_t before = LiveBytes();
+        ProxyRig rig(false, false);
+        rig.Take(true, listed);
+        plain.Add(size, static_cast<double>(LiveBytes() - before));
+        report.checks.Expect(rig.pooled() == listed.size(), "proxy: backends are missing");
+      }
+      const std::size_t before = LiveBytes();
+      ResetPeak();
+      ProxyRig rig(true, true);
+      whole.Add(size, rig.Take(true, listed));
+      all.Add(size, static_cast<double>(LiveBytes() - before));
+      peak.Add(size, static_cast<double>(PeakBytes() - before));
+      report.checks.Expect(rig.pooled() == listed.size(), "proxy: backends are missing behind the ledger");
+      change.Add(size, ChangeUs(rig, size));
+      const double began = ThreadCpuMs();
+      const std::string text = boost::json::serialize(rig.membership()->Describe());
+      describing.Add(size, ThreadCpuMs() - began);
+      described.Add(size, static_cast<double>(text.size()));
+    }
+  }
+  report.Fit(reader, "proxy_names_bytes_per_backend");
+  report.Fit(pool, "proxy_pool_bytes_per_backend");
+  report.Fit(plain, "proxy_plain_bytes_per_backend");
+  report.Fit(all, "proxy_all_bytes_per_backend");
+  report.Fit(peak, "proxy_peak_bytes_per_backend");
+  const Line holding = report.Fit(whole, "proxy_whole_list_ms_per_backend", Weighting::kAbsolute);
+  report.Figure("proxy_whole_list_ms", holding.At(kBackends),
+                "proxy: 110,000 backends in one event, ms (by the line)");
+  report.Fit(change, "proxy_change_us_per_backend", Weighting::kAbsolute);
+  report.Figure("proxy_change_us", change.Points().back().y, "proxy: one change at the largest size, us");
+  report.Fit(described, "proxy_described_bytes_per_backend");
+  report.Fit(describing, "proxy_described_ms_per_backend", Weighting::kAbsolute);
+}
+
+}  // namespace badgerbridge::bench
