Measure the relay's core in bench/slopes, and follow the new follower

A key, a past event and a subscriber of the relay's core; events to many subscribers; whole lists. Keys stand before each printed line.

--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -47,8 +47,8 @@
     if (point.x >= least_size) points.push_back(point);
   }
   const Line line = FitLine(points, weighting);
-  std::printf("%s [%s by %s]%s\n", series.name().c_str(), series.unit().c_str(), series.per().c_str(),
-              text.c_str());
+  std::printf("%s: %s [%s by %s]%s\n", key.c_str(), series.name().c_str(), series.unit().c_str(),
+              series.per().c_str(), text.c_str());
   std::printf(
       "    = %.5g + %.5g x, over %zu sizes from %g to %g; residual %.3g rms, at worst %.1f %%; r2 %.5f; "
       "repetitions differ by %.1f %% at most, by %.1f %% at the largest size\n",
@@ -62,7 +62,7 @@
 }
 
 void Report::Figure(const std::string& key, double value, const std::string& explanation) {
-  std::printf("%s: %.5g\n", explanation.c_str(), value);
+  std::printf("%s: %s: %.5g\n", key.c_str(), explanation.c_str(), value);
   figures_.emplace_back(key, value);
 }
 
@@ -92,6 +92,7 @@
     {"regions", MeasureRegions},
     {"tool", MeasureTool},
     {"agent", MeasureAgent},
+    {"relay", MeasureRelay},
 };
 
 bool Wanted(const char* name, int count, char** arguments) {
--- a/bench/slopes_membership.cpp
+++ b/bench/slopes_membership.cpp
@@ -6,7 +6,7 @@
 
 #include "allocations.h"
 #include "etcd.pb.h"
-#include "etcd/grpc.h"
+#include "etcd/follower.h"
 #include "membership/feed.h"
 #include "membership/ledger.h"
 #include "membership/value.h"
@@ -24,6 +24,7 @@
 constexpr int kSizes[] = {1000, 3000, 10000, 30000, 100000, kBackends};
 constexpr int kRepetitions = 3;
 constexpr int kChanges = 200;
+constexpr int kPageSize = 1000;         // FollowerSettings::page_size
 constexpr std::size_t kFrameBytes = 5;  // gRPC's prefix of a message
 constexpr std::uint64_t kCluster = 0x8e9e05c52164694dULL, kMember = 0xcf1d15c5d194b5c9ULL;
 
@@ -92,13 +93,34 @@
   return pages;
 }
 
-// A feed that is asked for its list.
-Feed Listing(const membership::FeedSettings& settings) {
-  Feed feed(settings, 1);
-  Feed::Actions actions;
-  feed.Tick(Time(0), &actions);
-  feed.Opened(Time(1), &actions);
-  return feed;
+// A follower with what turns its output into the ledger's reports.
+struct Rig {
+  etcd::Follower follower;
+  Feed feed{membership::kConvertersPrefix};
+};
+
+// One that has asked for its snapshot.
+Rig Listing() {
+  etcd::FollowerSettings settings;
+  settings.prefix = membership::kConvertersPrefix;
+  settings.page_size = kPageSize;
+  Rig rig{etcd::Follower(settings, 1)};
+  etcd::Follower::Actions actions;
+  rig.follower.Tick(Time(0), &actions);
+  rig.follower.Opened(Time(1), &actions);
+  return rig;
+}
+
+// What the reports of `actions` name.
+std::vector<Member> Reported(Feed& feed, const etcd::Follower::Actions& actions) {
+  std::vector<Member> members;
+  for (const etcd::Follower::Action& action : actions) {
+    Feed::Output output;
+    if (const auto* page = std::get_if<etcd::Follower::SnapshotPage>(&action)) output = feed.Convert(*page);
+    if (const auto* events = std::get_if<etcd::Follower::Events>(&action)) output = feed.Convert(*events);
+    if (output.report) members = std::move(output.report->members);
+  }
+  return members;
 }
 
 struct Listed {
@@ -106,19 +128,18 @@
   std::vector<Member> members;
 };
 
-Listed TakePages(Feed& feed, const std::vector<std::string>& pages) {
+Listed TakePages(Rig& rig, const std::vector<std::string>& pages) {
   Listed listed;
   const double before = ThreadCpuMs();
-  Feed::Actions actions;
   for (const std::string& page : pages) {
     pb::RangeResponse response;
     response.ParseFromString(page);
-    feed.Ranged(Time(2), {}, response, &actions);
+    etcd::Follower::Actions actions;
+    rig.follower.RangeCompleted(Time(2), {}, std::move(response), &actions);
+    std::vector<Member> members = Reported(rig.feed, actions);
+    if (!members.empty()) listed.members = std::move(members);
   }
   listed.cpu_ms = ThreadCpuMs() - before;
-  for (Feed::Action& action : actions) {
-    if (auto* tell = std::get_if<Feed::Tell>(&action)) listed.members = std::move(tell->report.members);
-  }
   return listed;
 }
 
@@ -133,12 +154,14 @@
   return response.SerializeAsString();
 }
 
-double TakeChangesMs(Feed feed, const std::string& message) {
-  Feed::Actions actions;
+// CPU in ms; the members that were told of are counted in *told.
+double TakeChangesMs(Rig rig, const std::string& message, std::size_t* told) {
   const double before = ThreadCpuMs();
   pb::WatchResponse response;
   response.ParseFromString(message);
-  feed.Watched(Time(3), response, &actions);
+  etcd::Follower::Actions actions;
+  rig.follower.WatchReceived(Time(3), std::move(response), &actions);
+  *told = Reported(rig.feed, actions).size();
   return ThreadCpuMs() - before;
 }
 
@@ -184,7 +207,7 @@
 }
 
 void MeasureFeed(Report& report) {
-  const membership::FeedSettings settings;
+  const std::string prefix = membership::kConvertersPrefix;
   Series bytes("feed: a whole list on the wire (messages with gRPC's prefix)", "bytes", "members");
   Series pages_sent("feed: calls for a whole list", "calls", "members");
   Series parse("feed: a whole list read, CPU", "ms", "members");
@@ -193,26 +216,28 @@
   Series event_parse("feed: one revision of a watch read, CPU", "us", "changes");
   for (int repetition = 0; repetition < kRepetitions; ++repetition) {
     for (const int size : kSizes) {
-      const std::vector<std::string> pages = Pages(settings.prefix, size, static_cast<int>(settings.page));
+      const std::vector<std::string> pages = Pages(prefix, size, kPageSize);
       double total = 0;
       for (const std::string& page : pages) total += static_cast<double>(page.size() + kFrameBytes);
       bytes.Add(size, total);
       pages_sent.Add(size, static_cast<double>(pages.size()));
-      Feed feed = Listing(settings);
+      Rig rig = Listing();
       const std::size_t live = LiveBytes();
       ResetPeak();
-      const Listed listed = TakePages(feed, pages);
+      const Listed listed = TakePages(rig, pages);
       parse.Add(size, listed.cpu_ms);
       held.Add(size, static_cast<double>(PeakBytes() - live));
       report.checks.Expect(listed.members.size() == static_cast<std::size_t>(size),
                            "feed: members are missing");
     }
-    Feed feed = Listing(settings);
-    TakePages(feed, Pages(settings.prefix, 1000, 1000));
+    Rig rig = Listing();
+    TakePages(rig, Pages(prefix, 1000, kPageSize));
     for (const int changes : {1, 10, 100, 1000, 4583, 13750}) {
-      const std::string message = ChangesMessage(settings.prefix, changes);
+      const std::string message = ChangesMessage(prefix, changes);
       event_bytes.Add(changes, static_cast<double>(message.size() + kFrameBytes));
-      event_parse.Add(changes, TakeChangesMs(feed, message) * 1000);
+      std::size_t told = 0;
+      event_parse.Add(changes, TakeChangesMs(rig, message, &told) * 1000);
+      report.checks.Expect(told == static_cast<std::size_t>(changes), "feed: changes are missing");
     }
   }
   report.Fit(bytes, "feed_list_bytes_per_member");
