Ping a silent link before it is given up, also after a stall of this process

A channel counted the time for a ping's answer from what was last heard, not from the ping: a process that was held up for 250 ms pinged and closed the link in the same instant, whatever the other side had to say. On a machine under a load of 35 ChannelTest.LeasesExpireWithTheirKeys failed so once of four runs (its one connection was gone).

The time for the answer begins with the ping, and what has arrived is read before the link is given up. The new test holds the thread up for 350 ms; without the change it fails, closed with "no answer to a ping".

--- a/src/etcd/channel.cpp
+++ b/src/etcd/channel.cpp
@@ -101,21 +101,29 @@
   }
 }
 
-// Asks when nothing has come for a while; no answer ends the connection.
+// Pings when nothing has come for a while; no answer ends the connection. The time for an answer begins with
+// the ping: where this process itself was held up, the other side is still asked before it is given up.
 asio::awaitable<void> Channel::Watch() {
   const auto self = shared_from_this();
   ErrorCode error;
   auto token = asio::redirect_error(asio::use_awaitable, error);
-  bool asked = false;
+  std::optional<Clock::time_point> pinged_at;
   while (!closed_) {
-    const auto due =
-        heard_ + options_.ping_every + (asked ? options_.ping_timeout : std::chrono::milliseconds(0));
+    const auto due = pinged_at ? *pinged_at + options_.ping_timeout : heard_ + options_.ping_every;
     if (Clock::now() >= due) {
-      if (asked) {
+      if (pinged_at) {
+        // What has arrived is read first, in case this process was held up again.
+        const auto heard = heard_;
+        timer_.expires_after(std::chrono::milliseconds(1));
+        co_await timer_.async_wait(token);
+        if (heard_ != heard) {
+          pinged_at.reset();
+          continue;
+        }
         Close("the link is silent: no answer to a ping");
         co_return;
       }
-      asked = true;
+      pinged_at = Clock::now();
       http2_.Ping();
       Flush();
       continue;
@@ -123,7 +131,7 @@
     const auto heard = heard_;
     timer_.expires_at(due);
     co_await timer_.async_wait(token);
-    if (heard_ != heard) asked = false;
+    if (heard_ != heard) pinged_at.reset();
   }
 }
 
--- a/tests/etcd/channel_test.cpp
+++ b/tests/etcd/channel_test.cpp
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include <thread>
+
 #include "etcd.pb.h"
 #include "standins/etcd.h"
 
@@ -232,6 +234,16 @@
   EXPECT_TRUE(Range("a", &response).ok());
 }
 
+TEST_F(ChannelTest, AHealthyLinkOutlivesAStallOfThisProcess) {
+  Connect();
+  for (int i = 0; i < 3; ++i) {
+    std::this_thread::sleep_for(options.ping_every + 2 * options.ping_timeout);
+    pb::RangeResponse response;
+    EXPECT_TRUE(Range("k", &response).ok());
+    EXPECT_EQ(closed, "");
+  }
+}
+
 TEST_F(ChannelTest, NothingThereIsOneLine) {
   etcd = std::make_unique<Etcd>(io, EtcdSettings{});
   etcd->Down(0);
