Take 250,000 members of a source, whole lists in pages, and say what is refused

A report of more than 100,000 members was refused without a word, and the size that is planned for is 110,000. Worse, once tombstones and members together passed 200,000 every change was refused, drains too, and for ever, since only a report that was taken let tombstones go.

The bound is 250,000: the planned size twice, as a list that takes the place of another holds both until its end, with room; 300 MB at 1.2 kB each, so a bound against runaway lists and not the memory meant. Members beyond it are refused one by one; drains, departures and all that is known still count. The number and the bound are in sources[].refused, in badgerctl members, and once in the log. Tombstones are bounded by number, the oldest go first, other than those that keep a listed member out.

A whole list may come in pages, in the order of names: each is applied when it comes, and departures are judged together at the last, so that the rule on mass departures holds. This is what handing lists on in slices needs.

Judge compared each change with all before it in the same call: 110,000 by a few thousand when a source aged in the same report. It looks names up now. Names: tombstones for graves, Reported for Says, kMax for kMost.

--- a/src/app/membership_source.cpp
+++ b/src/app/membership_source.cpp
@@ -95,7 +95,9 @@
   const Time now = EtcdSource::Now();
   const bool first =
       !authority_spoke_ && (report.source == etcd_) == (ledger_.is_authority(etcd_)) && report.whole;
+  const bool was_refused = !ledger_.refusal(report.source).empty();
   if (!ledger_.Take(now, report, &changes)) return;
+  LogRefusal(report.source, was_refused);
   if (first) {
     // What the configuration listed and the authority does not know has left.
     authority_spoke_ = true;
@@ -160,6 +162,11 @@
   next_publish_ = end + std::min<Clock::duration>((end - began) * kRestFor, kMostRest);
 }
 
+void MembershipSource::LogRefusal(std::size_t source, bool was_refused) const {
+  const std::string& refusal = ledger_.refusal(source);
+  if (!refusal.empty() && !was_refused) std::cerr << NameOfSource(source) << ": " << refusal << '\n';
+}
+
 // What time alone changes.
 void MembershipSource::Arm() {
   const auto wake = ledger_.NextWake(EtcdSource::Now());
@@ -199,10 +206,11 @@
   for (const std::size_t i : {etcd_, discovery_}) {
     json::object problems;
     for (const auto& [key, reason] : ledger_.problems(i)) problems[key] = reason;
-    sources.push_back(json::object{{"name", i == etcd_ ? "etcd" : "discovery"},
+    sources.push_back(json::object{{"name", NameOfSource(i)},
                                    {"authority", ledger_.is_authority(i)},
                                    {"freshness", membership::Name(ledger_.FreshnessOf(now, i))},
                                    {"revision", ledger_.version(i)},
+                                   {"refused", ledger_.refusal(i)},
                                    {"problems", std::move(problems)}});
   }
   return json::object{{"members", std::move(members)},
--- a/src/app/membership_source.h
+++ b/src/app/membership_source.h
@@ -47,6 +47,8 @@
   void Take(membership::Report report);
   void Publish(const std::vector<membership::Member>& changes);
   void Flush();
+  void LogRefusal(std::size_t source, bool was_refused) const;
+  std::string NameOfSource(std::size_t source) const { return source == etcd_ ? "etcd" : "discovery"; }
   void Arm();
 
   std::vector<std::string> zones_, kinds_;
--- a/src/ctl/members.cpp
+++ b/src/ctl/members.cpp
@@ -68,8 +68,11 @@
                name + "\n";
     for (const json::value& item : Array(body, "sources")) {
       if (!item.is_object()) continue;
-      for (const auto& [key, reason] : Object(item.get_object(), "problems"))
-        below += name + ": " + Text(item.get_object(), "name") + ": " + std::string(key) + ": " +
+      const json::object& source = item.get_object();
+      if (const std::string refused = Text(source, "refused"); !refused.empty())
+        below += name + ": " + Text(source, "name") + ": " + refused + "\n";
+      for (const auto& [key, reason] : Object(source, "problems"))
+        below += name + ": " + Text(source, "name") + ": " + std::string(key) + ": " +
                  (reason.is_string() ? std::string(reason.get_string()) : "") +
                  "; the last good entry stays\n";
     }
--- a/src/membership/ledger.cpp
+++ b/src/membership/ledger.cpp
@@ -2,12 +2,14 @@
 #include "membership/ledger.h"
 
 #include <algorithm>
+#include <iterator>
+#include <unordered_map>
 #include <utility>
 
 namespace badgerbridge::membership {
 namespace {
 
-constexpr Time kRemembersDepartures{600000};
+constexpr Time kTombstoneLifetime{600000};
 
 const MemberPtr& MemberOf(const MemberPtr& member) { return member; }
 const MemberPtr& MemberOf(const Believed& believed) { return believed.member; }
@@ -52,71 +54,120 @@
 
 Freshness Ledger::FreshnessOf(Time now, std::size_t source) const {
   const View& view = views_[source];
-  if (!view.told) return Freshness::kNever;
+  if (!view.reported) return Freshness::kNever;
   const Time silent = now - view.heard;
   if (silent < settings_.sources[source].current_for) return Freshness::kCurrent;
   return silent < settings_.sources[source].stale_after ? Freshness::kAging : Freshness::kStale;
 }
 
-const Member* Ledger::Says(std::size_t source, const std::string& name) const {
+const Member* Ledger::Reported(std::size_t source, const std::string& name) const {
   const auto found = views_[source].members.find(name);
   return found == views_[source].members.end() ? nullptr : found->second.get();
 }
 
+// Whether a report may follow what its source has reported.
+bool Ledger::IsNews(const View& view, const Report& report) {
+  if (report.whole && (report.page == Page::kMiddle || report.page == Page::kLast)) {
+    return view.listing && report.epoch == view.listing->epoch && report.version == view.listing->version;
+  }
+  if (!report.whole && view.listing) return false;  // the list that is under way is newer, or is about to be
+  const bool same_history = view.reported && report.epoch == view.epoch;
+  if (!same_history) return report.whole;  // changes to a list that is not known say nothing
+  if (report.whole) return report.certain || report.version >= view.version;
+  return report.version > view.version;
+}
+
+void Ledger::AddTombstone(Time now, View& view, const MemberPtr& member, std::set<std::string>* touched) {
+  if (member->state == State::kGone) return;
+  --view.listed;
+  view.tombstones.emplace_back(now, member->name);
+  touched->insert(member->name);
+  Put(&view.members, WithState(*member, State::kGone));
+}
+
+// Compares what the source had with a page, over the names from the page before up to its last.
+void Ledger::FindUnlisted(View& view, const Report& report) {
+  Listing& listing = *view.listing;
+  std::set<std::string_view> listed(report.unreadable.begin(), report.unreadable.end());
+  for (const Member& member : report.members) {
+    if (member.state != State::kGone) listed.insert(member.name);
+  }
+  const bool first = report.page == Page::kOnly || report.page == Page::kFirst;
+  auto at = first ? view.members.begin() : view.members.upper_bound(listing.compared_up_to);
+  auto end = view.members.end();
+  if (!report.EndsList()) {
+    if (listed.empty() || *listed.rbegin() <= listing.compared_up_to) return;
+    listing.compared_up_to = std::string(*listed.rbegin());
+    end = view.members.upper_bound(listing.compared_up_to);
+  }
+  for (; at != end; ++at) {
+    const MemberPtr& member = at->second;
+    if (member->state != State::kGone && !listed.count(member->name)) listing.unlisted.push_back(member);
+  }
+}
+
+// False: it is refused, since there are too many.
+bool Ledger::Join(View& view, const Member& member) const {
+  const auto found = view.members.find(member.name);
+  const bool joins = found == view.members.end() || found->second->state == State::kGone;
+  if (joins && view.listed >= settings_.max_members) return false;
+  view.listed += joins;
+  Put(&view.members, std::make_shared<const Member>(member));
+  return true;
+}
+
 bool Ledger::Apply(Time now, View& view, const Report& report, std::set<std::string>* touched) {
-  if (view.told && report.epoch == view.epoch) {
-    if (report.whole ? report.version < view.version && !report.certain : report.version <= view.version)
-      return false;  // one that lags, or a repeat
-  } else if (!report.whole) {
-    return false;  // changes to a list that is not known
+  if (!IsNews(view, report)) return false;
+  if (report.whole && (report.page == Page::kOnly || report.page == Page::kFirst)) {
+    view.listing = Listing{report.epoch, report.version, "", {}};
+    view.refused_joins = 0;
+    view.refusal.clear();
   }
-  if (report.members.size() > kMostMembers || (!report.whole && view.members.size() > 2 * kMostMembers))
-    return false;
-  const auto bury = [&](const Member& member) {
-    if (member.state == State::kGone) return;
-    view.graves.emplace_back(now, member.name);
-    touched->insert(member.name);
-    Put(&view.members, WithState(member, State::kGone));
-  };
-  if (report.whole) {
-    std::set<std::string_view> listed(report.unreadable.begin(), report.unreadable.end());
-    for (const Member& member : report.members) {
-      if (member.state != State::kGone) listed.insert(member.name);
+  if (report.whole) FindUnlisted(view, report);
+  if (report.EndsList()) {
+    for (const MemberPtr& member : view.listing->unlisted) {
+      const auto found = view.members.find(member->name);
+      if (found != view.members.end()) AddTombstone(now, view, MemberPtr(found->second), touched);
     }
-    std::vector<MemberPtr> left;
-    for (const auto& [name, member] : view.members) {
-      if (!listed.count(name)) left.push_back(member);
-    }
-    for (const MemberPtr& member : left) bury(*member);
+    view.listing.reset();
   }
   for (const Member& member : report.members) {
     const auto found = view.members.find(member.name);
     if (member.state == State::kGone) {
-      if (found != view.members.end()) bury(*MemberPtr(found->second));
+      if (found != view.members.end()) AddTombstone(now, view, MemberPtr(found->second), touched);
       continue;
     }
     if (found != view.members.end() && *found->second == member) continue;
-    Put(&view.members, std::make_shared<const Member>(member));
-    touched->insert(member.name);
+    if (Join(view, member)) {
+      touched->insert(member.name);
+    } else {
+      ++view.refused_joins;
+    }
+  }
+  if (view.refused_joins > 0) {
+    view.refusal = std::to_string(view.refused_joins) + " members are refused: at most " +
+                   std::to_string(settings_.max_members) + " are taken; drains and departures still count";
   }
-  view.told = true;
+  if (view.listing) return true;  // the list is not whole yet
+  view.reported = true;
   view.epoch = report.epoch;
   view.version = report.version;
   return true;
 }
 
-// The memory of departures is bounded in time; but one that still keeps a member out that the authority lists
-// stays.
+// The memory of departures is bounded in time and number; but one that still keeps a member out that the
+// authority lists stays.
 void Ledger::ForgetDepartures(Time now, View& view) {
-  for (std::size_t n = view.graves.size(); n > 0 && now - view.graves.front().first > kRemembersDepartures;
-       --n) {
-    const std::string name = view.graves.front().second;
-    view.graves.pop_front();
+  for (std::size_t n = view.tombstones.size(); n > 0; --n) {
+    const bool old = now - view.tombstones.front().first > kTombstoneLifetime;
+    if (!old && view.tombstones.size() <= settings_.max_tombstones) return;
+    const auto [since, name] = std::move(view.tombstones.front());
+    view.tombstones.pop_front();
     const auto found = view.members.find(name);
     if (found == view.members.end() || found->second->state != State::kGone) continue;
-    const Member* listed = Says(authority_, name);
+    const Member* listed = Reported(authority_, name);
     if (&view != &views_[authority_] && listed && listed->state != State::kGone) {
-      view.graves.emplace_back(now, name);
+      view.tombstones.emplace_back(now, name);
     } else {
       view.members.erase(found);
     }
@@ -143,8 +194,8 @@
   std::vector<MemberPtr> leaving;
   for (const std::string& name : touched) {
     const auto known = believed_.find(name);
-    const Member* told = Says(authority_, name);
-    const bool left = !told || told->state == State::kGone;
+    const Member* listed = Reported(authority_, name);
+    const bool left = !listed || listed->state == State::kGone;
     if (!left) held_.erase(name);
     if (left && known != believed_.end() && known->second.member->state == State::kReady &&
         !held_.count(name))
@@ -161,12 +212,12 @@
 Believed Ledger::Decide(const std::string& name) const {
   const View& authority = views_[authority_];
   Believed believed;
-  believed.version = authority.version;
+  believed.version = authority.listing ? authority.listing->version : authority.version;
   believed.source = authority_;
-  const auto told = authority.members.find(name);
+  const auto listed = authority.members.find(name);
   const auto held = held_.find(name);
-  if (told != authority.members.end() && told->second->state != State::kGone) {
-    believed.member = told->second;
+  if (listed != authority.members.end() && listed->second->state != State::kGone) {
+    believed.member = listed->second;
   } else if (held != held_.end()) {
     believed.member = held->second;
     believed.held = true;
@@ -178,13 +229,13 @@
   }
   for (std::size_t i = 0; i < views_.size(); ++i) {
     if (i == authority_) continue;
-    const Member* says = Says(i, name);
-    if (!says || says->state == State::kReady || says->since_ms < believed.member->since_ms) continue;
+    const Member* other = Reported(i, name);
+    if (!other || other->state == State::kReady || other->since_ms < believed.member->since_ms) continue;
     if (views_[i].freshness == Freshness::kStale && authority.freshness == Freshness::kCurrent) continue;
-    const bool worse = says->state == State::kGone ? believed.member->state != State::kGone
-                                                   : believed.member->state == State::kReady;
+    const bool worse = other->state == State::kGone ? believed.member->state != State::kGone
+                                                    : believed.member->state == State::kReady;
     if (!worse) continue;
-    believed.member = WithState(*believed.member, says->state);
+    believed.member = WithState(*believed.member, other->state);
     believed.version = views_[i].version;
     believed.source = i;
   }
@@ -199,7 +250,10 @@
 }
 
 void Ledger::Judge(Time now, const std::set<std::string>& touched, std::vector<Member>* changes) {
-  const std::size_t before = changes->size();  // names are met once here, so only those can be met again
+  // Names are met once here, so only what came before can be met again.
+  std::unordered_map<std::string_view, std::size_t> earlier;
+  for (std::size_t i = 0; i < changes->size(); ++i) earlier.emplace((*changes)[i].name, i);
+  std::vector<Member> added;
   for (const std::string& name : touched) {
     Believed next = Decide(name);
     const auto known = believed_.find(name);
@@ -214,13 +268,12 @@
     }
     ready_ += (next.member->state == State::kReady) - was_ready;
     // As one change, whatever came before it in the same call.
-    const auto end = changes->begin() + static_cast<std::ptrdiff_t>(before);
-    const auto earlier =
-        std::find_if(changes->begin(), end, [&](const Member& member) { return member.name == name; });
-    if (earlier != end) {
-      *earlier = *next.member;
+    if (const auto found = earlier.find(name); found != earlier.end()) {
+      const std::size_t at = found->second;
+      earlier.erase(found);  // its key is the name of what is replaced
+      (*changes)[at] = *next.member;
     } else {
-      changes->push_back(*next.member);
+      added.push_back(*next.member);
     }
     if (gone) {
       believed_.erase(known);
@@ -229,6 +282,7 @@
       Put(&believed_, std::move(next));
     }
   }
+  std::move(added.begin(), added.end(), std::back_inserter(*changes));
 }
 
 // Whether a source's freshness is another than it was: then its word may count otherwise.
@@ -258,7 +312,7 @@
 }
 
 void Ledger::Heard(Time now, std::size_t source) {
-  if (views_[source].told) views_[source].heard = now;
+  if (views_[source].reported) views_[source].heard = now;
 }
 
 void Ledger::Tick(Time now, std::vector<Member>* changes) {
@@ -268,7 +322,7 @@
 std::optional<Time> Ledger::NextWake(Time now) const {
   std::optional<Time> next;
   for (std::size_t i = 0; i < views_.size(); ++i) {
-    if (!views_[i].told) continue;
+    if (!views_[i].reported) continue;
     for (const Time after : {settings_.sources[i].current_for, settings_.sources[i].stale_after}) {
       const Time at = views_[i].heard + after;
       if (at > now && (!next || at < *next)) next = at;
@@ -287,7 +341,7 @@
   auto& problems = views_[source].problems;
   if (reason.empty()) {
     problems.erase(key);
-  } else if (problems.size() < kMostProblems || problems.count(key)) {
+  } else if (problems.size() < kMaxProblems || problems.count(key)) {
     problems[key] = reason;
   }
 }
--- a/src/membership/ledger.h
+++ b/src/membership/ledger.h
@@ -1,13 +1,13 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// Who the converters are: what each source says, what this proxy believes and why. Pure: reports and the time
-// go in, changes come out. docs/etcd.md has the rules in words; in short, for a converter of one name and
-// start time:
+// Who the converters are: what each source reports, what this proxy believes and why. Pure: reports and the
+// time go in, changes come out. docs/etcd.md has the rules in words; in short, for a converter of one name
+// and start time:
 //
 // - It is ready only if the authority says so. Others cannot bring one in, nor bring one back.
-// - A drain or a departure counts at once, whichever current source tells it.
-// - What a source said loses its force only once that source is stale and the authority is current. Silence
-// empties
+// - A drain or a departure counts at once, whichever current source reports it.
+// - What a source reported loses its force only once that source is stale and the authority is current.
+// Silence empties
 //   nothing.
 // - A newer start time is a new process: what was said of the older one no longer counts.
 // - If the authority's departures within a window exceed a share of the list, they are held until another
@@ -55,18 +55,25 @@
 enum class Freshness { kNever, kCurrent, kAging, kStale };
 std::string_view Name(Freshness freshness);
 
-// What one source told.
+// Which part of a whole list a report holds. Pages come in the order of names, and all of one list have its
+// epoch and version; what a list does not name is gone at its end.
+enum class Page { kOnly, kFirst, kMiddle, kLast };
+
+// What one source reported.
 struct Report {
   std::size_t source = 0;
   std::uint64_t epoch = 0;    // which history the version counts in, such as etcd's cluster id
   std::uint64_t version = 0;  // of the list after this
-  bool whole = false;         // the whole list: what it does not name is gone
+  bool whole = false;         // the whole list, or a page of it: what it does not name is gone
   // It cannot be behind what is committed (a linearizable read): a lower version means that history was
   // rewound.
   bool certain = false;
   std::vector<Member> members;
   // Of a whole list: names that it holds too, with what can't be read. What was last known of them stays.
   std::vector<std::string> unreadable = {};
+  Page page = Page::kOnly;  // of a whole list
+
+  bool EndsList() const { return whole && (page == Page::kOnly || page == Page::kLast); }
 };
 
 // One member for all who hold it: a list of ten thousand is kept once.
@@ -80,22 +87,32 @@
   bool held = false;  // its departure is held back
 };
 
+// Members of one source's list, and so of what is believed. The deployment that is planned for has 110,000; a
+// list that takes the place of another holds both until its end. A member costs the proxy 1.2 kB in all
+// (docs/etcd.md, "Measured"): this bounds what a runaway list can cost, at some 300 MB, and isn't the memory
+// that a proxy is meant to spend.
+constexpr std::size_t kMaxMembers = 250000;
+// Departures that a source's list remembers; beyond it the oldest are forgotten first, other than those that
+// keep a member out which the authority lists.
+constexpr std::size_t kMaxTombstones = 250000;
+constexpr std::size_t kMaxProblems = 64;  // of one source
+
 struct Settings {
   std::vector<SourceSettings> sources;
   double most_departures = 0.5;  // of the members believed ready, within the window; 1: never held
   Time departures_window{2000};
   std::size_t least_departures = 3;  // fewer are never held
+  std::size_t max_members = kMaxMembers, max_tombstones = kMaxTombstones;
 };
 
-constexpr std::size_t kMostMembers = 100000, kMostProblems = 64;
-
 class Ledger {
  public:
   explicit Ledger(Settings settings);
 
-  // False: the report is older than what the source has told, or beyond the bounds, and changes nothing. What
-  // is believed now differs from before by the members in `changes`, gone ones included; a member never
-  // appears twice.
+  // False: the report is older than what the source has reported, or a page that does not follow the one
+  // before, and changes nothing. Members that join beyond kMaxMembers are refused, and all else is taken:
+  // refusal() says so. What is believed now differs from before by the members in `changes`, gone ones
+  // included; a member never appears twice.
   bool Take(Time now, const Report& report, std::vector<Member>* changes);
   // The source lives, and nothing has changed.
   void Heard(Time now, std::size_t source);
@@ -121,22 +138,38 @@
   const std::map<std::string, std::string>& problems(std::size_t source) const {
     return views_[source].problems;
   }
-  // What a source says of a member; null: nothing.
-  const Member* Says(std::size_t source, const std::string& name) const;
+  // How many members were refused since the source's last whole list began, and the bound; empty: none.
+  const std::string& refusal(std::size_t source) const { return views_[source].refusal; }
+  // What a source has reported of a member; null: nothing.
+  const Member* Reported(std::size_t source, const std::string& name) const;
 
  private:
+  // A whole list that comes in pages.
+  struct Listing {
+    std::uint64_t epoch = 0, version = 0;
+    std::string compared_up_to;       // the last name of the pages so far
+    std::vector<MemberPtr> unlisted;  // that the source had, and the pages so far don't name
+  };
   struct View {
-    bool told = false;
+    bool reported = false;
     std::uint64_t epoch = 0, version = 0;
     Time heard{0};
-    // Keyed by the member's own name. A state kGone is the memory of a departure that it told.
+    // Keyed by the member's own name. A tombstone, of state kGone, remembers a departure that it reported.
     std::map<std::string_view, MemberPtr> members;
-    std::deque<std::pair<Time, std::string>> graves;  // those, the oldest first
+    std::size_t listed = 0;                               // of them without the tombstones
+    std::deque<std::pair<Time, std::string>> tombstones;  // the oldest first
+    std::optional<Listing> listing;
+    std::size_t refused_joins = 0;
+    std::string refusal;
     std::map<std::string, std::string> problems;
     Freshness freshness = Freshness::kNever;  // as last acted on
   };
 
   bool Apply(Time now, View& view, const Report& report, std::set<std::string>* touched);
+  static bool IsNews(const View& view, const Report& report);
+  static void AddTombstone(Time now, View& view, const MemberPtr& member, std::set<std::string>* touched);
+  static void FindUnlisted(View& view, const Report& report);
+  bool Join(View& view, const Member& member) const;
   void ForgetDepartures(Time now, View& view);
   void Judge(Time now, const std::set<std::string>& touched, std::vector<Member>* changes);
   Believed Decide(const std::string& name) const;  // a member of state kGone: not believed in
--- a/tests/membership/ledger_test.cpp
+++ b/tests/membership/ledger_test.cpp
@@ -176,11 +176,141 @@
 
 TEST_F(LedgerTest, ProblemsAreKeptInBounds) {
   for (int i = 0; i < 200; ++i) ledger.Problem(kEtcd, "key" + std::to_string(i), "no JSON");
-  EXPECT_EQ(ledger.problems(kEtcd).size(), kMostProblems);
+  EXPECT_EQ(ledger.problems(kEtcd).size(), kMaxProblems);
   ledger.Problem(kEtcd, "key3", "");
   EXPECT_EQ(ledger.problems(kEtcd).count("key3"), 0u);
 }
 
+std::vector<Member> Numbered(std::size_t count) {
+  std::vector<Member> members;
+  for (std::size_t i = 0; i < count; ++i) members.push_back(Make("m" + std::to_string(i)));
+  return members;
+}
+
+TEST_F(LedgerTest, ThePlannedSizeFits) {
+  EXPECT_TRUE(Whole(kEtcd, 1, Numbered(110000)));
+  EXPECT_EQ(ledger.believed().size(), 110000u);
+  EXPECT_EQ(ledger.refusal(kEtcd), "");
+  EXPECT_GT(kMaxMembers, 2 * 110000u) << "while a list takes the place of another both are held";
+}
+
+class LedgerBoundsTest : public LedgerTest {
+ protected:
+  LedgerBoundsTest() {
+    Settings settings = TwoSources();
+    settings.max_members = 5;
+    settings.max_tombstones = 8;
+    settings.most_departures = 1;
+    ledger = Ledger(settings);
+  }
+};
+
+TEST_F(LedgerBoundsTest, OfAListBeyondTheBoundTheRestIsRefusedAndSaid) {
+  Whole(kEtcd, 1, {Make("a")});
+  std::vector<Member> many = Numbered(7);
+  many.push_back(Make("a", State::kDraining));
+  EXPECT_TRUE(Whole(kEtcd, 2, many));
+  EXPECT_EQ(StateOf("a"), "draining") << "a drain counts all the same";
+  EXPECT_EQ(ledger.believed().size(), 5u);
+  EXPECT_EQ(ledger.refusal(kEtcd),
+            "3 members are refused: at most 5 are taken; drains and departures still count");
+  EXPECT_TRUE(Whole(kEtcd, 4, {Make("a"), Make("b")}));
+  EXPECT_EQ(ledger.refusal(kEtcd), "") << "what the source has is known again";
+}
+
+TEST_F(LedgerBoundsTest, JoinsBeyondTheBoundAreRefusedAndSaidAndDrainsAreNot) {
+  EXPECT_TRUE(Whole(kEtcd, 1, Numbered(5)));
+  EXPECT_EQ(ledger.refusal(kEtcd), "");
+  EXPECT_TRUE(Delta(kEtcd, 2, {Make("extra"), Make("m3", State::kDraining), Make("m4", State::kGone)}));
+  EXPECT_EQ(StateOf("extra"), "gone");
+  EXPECT_EQ(StateOf("m3"), "draining");
+  EXPECT_EQ(StateOf("m4"), "gone");
+  EXPECT_EQ(ledger.refusal(kEtcd),
+            "1 members are refused: at most 5 are taken; drains and departures still count");
+  EXPECT_TRUE(Delta(kEtcd, 3, {Make("extra")})) << "there is room again";
+  EXPECT_EQ(StateOf("extra"), "ready");
+}
+
+TEST_F(LedgerBoundsTest, TombstonesAreBoundedInNumberAndChangesStillTaken) {
+  // Every member is replaced again and again within the time that a departure is remembered.
+  for (std::uint64_t round = 1; round <= 6; ++round) {
+    std::vector<Member> members;
+    for (int i = 0; i < 2; ++i) members.push_back(Make(std::to_string(round) + "-" + std::to_string(i)));
+    EXPECT_TRUE(Whole(kEtcd, round, members));
+  }
+  EXPECT_EQ(ledger.Reported(kEtcd, "1-0"), nullptr) << "the oldest are forgotten";
+  ASSERT_NE(ledger.Reported(kEtcd, "2-0"), nullptr);
+  EXPECT_EQ(ledger.Reported(kEtcd, "2-0")->state, State::kGone);
+  EXPECT_TRUE(Delta(kEtcd, 7, {Make("6-0", State::kDraining)}));
+  EXPECT_EQ(StateOf("6-0"), "draining");
+}
+
+TEST_F(LedgerBoundsTest, ATombstoneThatKeepsAListedMemberOutOutlivesTheBound) {
+  Whole(kEtcd, 1, {Make("a")});
+  Whole(kDiscovery, 1, {Make("a")});
+  Delta(kDiscovery, 2, {Make("a", State::kGone)});
+  EXPECT_EQ(StateOf("a"), "gone");
+  for (std::uint64_t version = 3; version < 23; ++version) {
+    const std::string name = "d" + std::to_string(version);
+    Delta(kDiscovery, 2 * version, {Make(name)});
+    Delta(kDiscovery, 2 * version + 1, {Make(name, State::kGone)});
+  }
+  EXPECT_EQ(ledger.Reported(kDiscovery, "d3"), nullptr);
+  EXPECT_EQ(StateOf("a"), "gone");
+}
+
+class LedgerPagesTest : public LedgerTest {
+ protected:
+  bool Page_(Page page, std::vector<Member> members, std::uint64_t version = 20, std::uint64_t epoch = 1,
+             std::vector<std::string> unreadable = {}) {
+    changes.clear();
+    Report report{kEtcd, epoch, version, true, true, std::move(members), std::move(unreadable)};
+    report.page = page;
+    return ledger.Take(now, report, &changes);
+  }
+};
+
+TEST_F(LedgerPagesTest, WhatNoPageNamesIsGoneAtTheEndAndNotBefore) {
+  Whole(kEtcd, 10, {Make("a"), Make("b"), Make("c"), Make("d"), Make("e"), Make("f"), Make("g")});
+  EXPECT_TRUE(Page_(Page::kFirst, {Make("a"), Make("c", State::kDraining)}));
+  EXPECT_EQ(StateOf("c"), "draining") << "at once";
+  EXPECT_EQ(StateOf("b"), "ready") << "the list is not whole yet";
+  EXPECT_EQ(ledger.version(kEtcd), 10u);
+  EXPECT_TRUE(Page_(Page::kMiddle, {Make("d"), Make("ee")}, 20, 1, {"e"}));
+  EXPECT_TRUE(Page_(Page::kLast, {Make("f")}));
+  EXPECT_EQ(StateOf("b"), "gone");
+  EXPECT_EQ(StateOf("e"), "ready") << "its value could not be read";
+  EXPECT_EQ(StateOf("ee"), "ready");
+  EXPECT_EQ(StateOf("g"), "gone");
+  EXPECT_EQ(ledger.version(kEtcd), 20u);
+}
+
+TEST_F(LedgerPagesTest, MassDepartureIsJudgedOverAllPages) {
+  std::vector<Member> ten;
+  for (int i = 0; i < 10; ++i) ten.push_back(Make("m" + std::to_string(i)));
+  Whole(kEtcd, 10, ten);
+  // One leaves within each page: few in any of them, seven in all.
+  EXPECT_TRUE(Page_(Page::kFirst, {Make("m2")}));
+  EXPECT_TRUE(Page_(Page::kMiddle, {Make("m5")}));
+  EXPECT_TRUE(Page_(Page::kLast, {Make("m8")}));
+  EXPECT_EQ(ledger.held(), 7u);
+  EXPECT_EQ(StateOf("m0"), "ready");
+}
+
+TEST_F(LedgerPagesTest, AListThatIsBrokenOffRemovesNothingAndOnlyAWholeOneFollows) {
+  Whole(kEtcd, 10, {Make("a"), Make("b"), Make("c")});
+  EXPECT_TRUE(Page_(Page::kFirst, {Make("c")}));
+  EXPECT_FALSE(Delta(kEtcd, 11, {Make("c", State::kGone)})) << "from before the list";
+  EXPECT_FALSE(Page_(Page::kLast, {Make("d")}, 21)) << "of another list";
+  EXPECT_FALSE(Page_(Page::kLast, {Make("d")}, 20, 2)) << "of another history";
+  EXPECT_EQ(ledger.believed().size(), 3u);
+  EXPECT_TRUE(Page_(Page::kFirst, {Make("a")}, 20)) << "from the start again, at the same version";
+  EXPECT_TRUE(Page_(Page::kLast, {Make("c")}, 20));
+  EXPECT_EQ(StateOf("b"), "gone");
+  EXPECT_FALSE(Page_(Page::kMiddle, {Make("x")}, 20)) << "there is none under way";
+  EXPECT_TRUE(Delta(kEtcd, 21, {Make("c", State::kDraining)}));
+}
+
 // Two sources that tell of the same world, late, in pieces, after breaks, and by members that lag. Whatever
 // they do, nothing that the authority was last heard to have drained or removed is believed ready; and once
 // both are quiet, the ledger is what the world is.
@@ -277,9 +407,9 @@
         const std::string name(key);
         ASSERT_EQ(applied.at(name), *believed.member);
         if (believed.member->state != State::kReady) continue;
-        const Member* told = ledger.Says(0, name);
+        const Member* told = ledger.Reported(0, name);
         ASSERT_TRUE(told && told->state == State::kReady) << "ready without the authority";
-        const Member* other = ledger.Says(1, name);
+        const Member* other = ledger.Reported(1, name);
         ASSERT_TRUE(!other || other->state == State::kReady || other->since_ms < believed.member->since_ms)
             << "ready against a drain or departure that was told";
       }
