Split the lab's world by idea, with shorter functions; nothing but moves

It keeps the course of a run: the constructor (now StartConverters, StartMembers), Run (now CheckTotals), On, Forget, Release, Digest.

- world_clients.cpp: Arrive, PickProxy, Try, Ended, Again; out of On TimeUp and ClientLeaves.
- world_proxies.cpp: ReachProxy, Carry, Send, EndAttempt, Tell, Kill, Revive; out of On Wake and Noticed.
- world_converters.cpp: ReachConverter, Began, Leaves, Finished, Dropped, and the network and discovery (Cut, Between, Latency, Warm, List).
- world_happenings.cpp: Happen (now CutZones, OrderZones, HoldLists, HappenToShare, HappenToConverter).
- world_types.h: World::Proxy, Attempt and Intent, which stood in world.cpp.

--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -81,32 +81,50 @@
   void Finished(TimePoint now, std::size_t converter, JobId job, bool right) override;
   void Dropped(TimePoint now, std::size_t converter, JobId job) override;
 
-  void Leaves(TimePoint now, JobId job, fordlb::Outcome outcome);
-  // Clients.
+  // world.cpp: the course of a run.
+  void StartConverters();
+  void StartMembers();
+  void CheckTotals();
+  void Forget(std::uint64_t attempt);
+  void Release(std::uint64_t trace);
+  void Digest(std::uint64_t word);
+
+  // world_clients.cpp
   void Arrive(TimePoint now);
   void Try(TimePoint now, std::uint64_t intent);
   void Ended(TimePoint now, std::uint64_t trace, exchange::Ending ending, double retry_after);
   void Again(TimePoint now, std::uint64_t intent, double retry_after, exchange::Ending ending);
+  void TimeUp(TimePoint now, std::uint64_t trace);
+  void ClientLeaves(TimePoint now, std::uint64_t trace);
   int PickProxy(int zone);
-  // Proxies.
+
+  // world_proxies.cpp
   void ReachProxy(TimePoint now, std::uint64_t trace);
   void Carry(TimePoint now, std::size_t proxy);
   void Send(TimePoint now, std::size_t proxy, const exchange::Send& send);
   void Tell(TimePoint now, std::size_t proxy, std::uint64_t change);
+  void Wake(TimePoint now, std::size_t proxy, std::uint64_t life);
   void Kill(TimePoint now, std::size_t proxy);
   void Revive(TimePoint now, std::size_t proxy);
+  void Noticed(std::size_t proxy);
   void EndAttempt(TimePoint now, std::uint64_t attempt, fordlb::Outcome outcome);
-  // Network and discovery.
+
+  // world_converters.cpp: converters, network and discovery.
+  void ReachConverter(TimePoint now, std::uint64_t attempt);
+  void Leaves(TimePoint now, JobId job, fordlb::Outcome outcome);
   bool Cut(int from_zone, int to_zone) const;
   double Latency();
   double Between(int zone, int other);
   std::vector<double> Warm(TimePoint now) const;
   void List(TimePoint now, std::size_t converter, fordlb::ServerState state);
-  void ReachConverter(TimePoint now, std::uint64_t attempt);
-  void Happen(TimePoint now, const Happening& happening);
-  void Forget(std::uint64_t attempt);
-  void Release(std::uint64_t trace);
-  void Digest(std::uint64_t word);
+
+  // world_happenings.cpp: the scenario's timetable.
+  void Happen(TimePoint now, const Happening& what);
+  void CutZones(const Happening& what);
+  void OrderZones(const Happening& what);
+  void HoldLists(TimePoint now, bool stale);
+  void HappenToShare(TimePoint now, const Happening& what);
+  void HappenToConverter(TimePoint now, const Happening& what, std::size_t converter);
 
   const Model model_;
   const std::uint64_t seed_;
--- /dev/null
+++ b/src/lab/world_proxies.cpp
@@ -0,0 +1,215 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The proxies of the world: what reaches them, what their cores say, and how they die and start.
+#include <utility>
+#include <variant>
+
+#include "lab/world_types.h"
+
+namespace badgerbridge::lab {
+
+using namespace fordlb;
+
+void World::ReachProxy(TimePoint now, std::uint64_t id) {
+  const auto found = traces_.find(id);
+  if (found == traces_.end()) return;
+  Trace& trace = found->second;
+  Proxy& proxy = proxies_[trace.proxy];
+  if (!proxy.alive() || trace.left) return;  // reset; the client's time ends it
+  trace.life = proxy.life;
+  const ClassModel& cls = model_.classes[static_cast<std::size_t>(trace.request_class)];
+  Submit submit;
+  submit.due = trace.due;
+  submit.request_class = trace.request_class;
+  submit.has_hint = cls.hinted;
+  submit.work_ms = cls.hinted ? trace.work : 0;
+  const std::size_t index = trace.proxy;
+  if (members_) members_->Arrived(now, index, trace.work);
+  trace.request = proxy.core->Take(now, submit, &proxy.actions);
+  proxy.traces[trace.request] = id;
+  Carry(now, index);
+}
+
+// What the core says, in order; what it says meanwhile follows.
+void World::Carry(TimePoint now, std::size_t index) {
+  Proxy& proxy = proxies_[index];
+  if (proxy.carrying) return;
+  proxy.carrying = true;
+  while (!proxy.actions.empty()) {
+    for (const exchange::Action& action : std::exchange(proxy.actions, {})) {
+      if (const auto* send = std::get_if<exchange::Send>(&action)) {
+        Send(now, index, *send);
+      } else if (const auto* cancel = std::get_if<exchange::Cancel>(&action)) {
+        const auto newest = proxy.newest.find(cancel->request);
+        if (newest != proxy.newest.end())
+          queue_.At(now, this, kAttemptEnds, newest->second, static_cast<std::uint64_t>(Outcome::kCancelled));
+      } else if (const auto* withdraw = std::get_if<exchange::Withdraw>(&action)) {
+        const auto newest = proxy.newest.find(withdraw->request);
+        if (newest != proxy.newest.end() && now < attempts_.at(newest->second).written)
+          queue_.At(now, this, kAttemptEnds, newest->second, static_cast<std::uint64_t>(Outcome::kMoot));
+      } else if (const auto* answer = std::get_if<exchange::Answer>(&action)) {
+        const auto traced = proxy.traces.find(answer->request);
+        if (traced == proxy.traces.end()) continue;
+        queue_.At(now + Duration(Latency()), this, kAnswered, traced->second,
+                  static_cast<std::uint64_t>(answer->retry_after.count() * 1000) << 2 |
+                      static_cast<std::uint64_t>(answer->ending));
+        proxy.traces.erase(traced);
+      }
+    }
+  }
+  proxy.carrying = false;
+  const auto wake = proxy.core->NextWake();
+  if (wake && (!proxy.wake || *wake < *proxy.wake)) {
+    proxy.wake = wake;
+    queue_.At(*wake, this, kWake, index, proxy.life);
+  }
+}
+
+void World::Send(TimePoint now, std::size_t index, const exchange::Send& send) {
+  Proxy& proxy = proxies_[index];
+  const auto traced = proxy.traces.find(send.request);
+  if (traced == proxy.traces.end()) return proxy.core->Ended(now, send, Outcome::kMoot, &proxy.actions);
+  Trace& trace = traces_.at(traced->second);
+  const auto converter = static_cast<std::size_t>(send.server - 1);
+  Attempt attempt;
+  attempt.proxy = index;
+  attempt.life = proxy.life;
+  attempt.trace = traced->second;
+  attempt.converter = converter;
+  attempt.converter_since = converters_[converter]->up_since();
+  attempt.send = send;
+  attempt.reset = model_.network.reset_share > 0 && network_.Unit() < model_.network.reset_share;
+  const std::uint64_t id = ++next_attempt_;
+  ++trace.attempts_out, ++trace.records;
+  ++result_.attempts;
+  proxy.newest[send.request] = id;
+  const auto off = proxy.told_off.find(send.server);
+  referee_.Sent(now, queue_.steps(), trace,
+                off == proxy.told_off.end() ? std::nullopt : std::optional<TimePoint>(off->second),
+                static_cast<std::uint32_t>(converter));
+  attempt.on_idle = proxy.idle[converter] > 0;
+  const int zone = listed_[converter].zone;
+  if (members_) members_->Sent(now, index, id, zone);
+  ClassResult& result = result_.classes[static_cast<std::size_t>(trace.request_class)];
+  ++result.attempts, result.crossed += zone != proxy.zone;
+  result.far += model_.RegionOf(zone) != model_.RegionOf(proxy.zone);
+  const double latency = Between(proxy.zone, zone);
+  const bool cut = Cut(proxy.zone, zone);
+  attempt.written = attempt.on_idle ? now : cut ? TimePoint::max() : now + Duration(2 * latency);
+  attempts_.emplace(id, attempt);
+  if (attempt.on_idle) {
+    --proxy.idle[converter];
+    // A silent link, or a process that has died since: an idle connection does not notice the one, and is
+    // reset by the other.
+    if (!cut) queue_.At(now + Duration(latency), this, kReachConverter, id);
+  } else if (cut) {
+    queue_.At(now + std::min(model_.network.connect_timeout, send.timeout), this, kAttemptEnds, id,
+              static_cast<std::uint64_t>(Outcome::kConnectFailed));
+  } else {
+    queue_.At(now + Duration(3 * latency), this, kReachConverter, id);
+  }
+  queue_.At(now + send.timeout, this, kAttemptTimesOut, id);
+}
+
+void World::EndAttempt(TimePoint now, std::uint64_t id, Outcome outcome) {
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end() || found->second.told) return;
+  Attempt& attempt = found->second;
+  attempt.told = true;
+  Proxy& proxy = proxies_[attempt.proxy];
+  const std::size_t index = attempt.proxy;
+  const exchange::Send send = attempt.send;
+  const bool same_life = proxy.life == attempt.life;
+  const std::uint64_t trace = attempt.trace;
+  --traces_.at(trace).attempts_out;
+  // A connection is kept where its answer came whole.
+  const bool kept = outcome == Outcome::kOk || outcome == Outcome::kError || outcome == Outcome::kFull;
+  if (same_life && kept && proxy.idle[attempt.converter] < 16) ++proxy.idle[attempt.converter];
+  if (same_life && members_) {
+    const Converter& converter = *converters_[attempt.converter];
+    const bool heard = outcome == Outcome::kOk || outcome == Outcome::kError || outcome == Outcome::kFull;
+    members_->Ended(now, index, id, traces_.at(trace).request_class, outcome, now - send.at,
+                    traces_.at(trace).work,
+                    heard ? static_cast<double>(converter.running()) / model_.converter.slots : -1);
+  }
+  if (!attempt.at_converter) Forget(id);
+  if (same_life) {
+    proxy.newest.erase(send.request);
+    proxy.core->Ended(now, send, outcome, &proxy.actions);
+    Carry(now, index);
+  }
+  Release(trace);
+}
+
+void World::Tell(TimePoint now, std::size_t index, std::uint64_t change) {
+  Proxy& proxy = proxies_[index];
+  if (!proxy.alive()) return;
+  const ServerEntry& entry = changes_[change];
+  if (entry.state == ServerState::kReady) {
+    proxy.told_off.erase(entry.server);
+  } else {
+    proxy.told_off.emplace(entry.server, now);
+    proxy.idle[entry.server - 1] = 0;
+  }
+  if (members_) members_->Listed(index, Warm(now));
+  proxy.core->List(now, {ListKind::kDelta, {entry}}, &proxy.actions);
+  Carry(now, index);
+}
+
+void World::Wake(TimePoint now, std::size_t index, std::uint64_t life) {
+  Proxy& proxy = proxies_[index];
+  if (proxy.life != life || !proxy.wake || *proxy.wake > now) return;
+  proxy.wake.reset();
+  proxy.core->Wake(now, &proxy.actions);
+  Carry(now, index);
+}
+
+void World::Kill(TimePoint now, std::size_t index) {
+  Proxy& proxy = proxies_[index];
+  if (!proxy.alive()) return;
+  ++proxy.life;
+  proxy.core.reset();
+  proxy.actions.clear();
+  proxy.traces.clear();
+  proxy.newest.clear();
+  proxy.wake.reset();
+  if (members_) members_->Stop(index);
+  queue_.At(now + model_.network.front_notices, this, kNoticed, index);
+}
+
+void World::Revive(TimePoint now, std::size_t index) {
+  Proxy& proxy = proxies_[index];
+  if (proxy.alive()) return;
+  ++proxy.life;
+  proxy.core =
+      factory_(model_.SettingsOf(static_cast<int>(index)), seed_ * 1000003 + index * 101 + proxy.life);
+  proxy.told_off.clear();
+  proxy.idle.assign(converters_.size(), 0);
+  proxy.told_until = now;
+  ListUpdate list{ListKind::kFull, {}};
+  for (const ServerEntry& entry : listed_) {
+    if (entry.state != ServerState::kGone) list.entries.push_back(entry);
+    if (entry.state != ServerState::kReady) proxy.told_off.emplace(entry.server, now);
+  }
+  proxy.core->List(now, std::move(list), &proxy.actions);
+  Carry(now, index);
+  if (members_) {
+    members_->Listed(index, Warm(now));
+    members_->Start(now, index);
+  }
+  if (now == At(0)) {
+    fronts_[static_cast<std::size_t>(proxy.zone)].push_back(static_cast<std::uint32_t>(index));
+  } else {
+    queue_.At(now, this, kNoticed, index);
+  }
+}
+
+// The front has noticed that a proxy died or started.
+void World::Noticed(std::size_t index) {
+  const bool alive = proxies_[index].alive();
+  auto& front = fronts_[static_cast<std::size_t>(proxies_[index].zone)];
+  std::erase(front, static_cast<std::uint32_t>(index));
+  if (alive) front.push_back(static_cast<std::uint32_t>(index));
+}
+
+}  // namespace badgerbridge::lab
