--- a/src/relay/key_range.cpp
+++ b/src/relay/key_range.cpp
@@ -1,19 +1,11 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "relay/key_range.h"
 
-namespace badgerbridge::relay {
-namespace {
-
-const std::string kToTheLast(1, '\0');
-
-}  // namespace
+#include "etcd/key_range.h"
 
+namespace badgerbridge::relay {
 KeyRange KeyRange::Prefix(std::string_view prefix) {
-  std::string end(prefix);
-  while (!end.empty() && static_cast<unsigned char>(end.back()) == 0xff) end.pop_back();
-  if (end.empty()) return {std::string(prefix), kToTheLast};
-  end.back() = static_cast<char>(static_cast<unsigned char>(end.back()) + 1);
-  return {std::string(prefix), end};
+  return {std::string(prefix), etcd::PrefixRangeEnd(std::string(prefix))};
 }
 
 bool KeyRange::Contains(std::string_view key) const {
--- a/src/relay/merged_backlog.cpp
+++ b/src/relay/merged_backlog.cpp
@@ -23,6 +23,10 @@
   const auto last = std::prev(segments_.end());
   last->second.revision = revision;
   for (const StoredEventPtr& event : events) AddOne(last, event);
+  // Only now that the segment has all of the batch: what must be kept apart from it is known.
+  for (const StoredEventPtr& event : events) {
+    if (event->must_deliver) NoteNewestToDeliver(last, event->kv->key());
+  }
 }
 
 void MergedBacklog::AddOne(Segments::iterator last, const StoredEventPtr& event) {
@@ -42,7 +46,10 @@
     const auto before = std::prev(last);
     if (KeepsApart(before, key)) ++before->second.kept_apart;
   }
-  if (!event->must_deliver) return;
+}
+
+// What must be delivered of this key is in the last segment; an older segment need not be kept for it.
+void MergedBacklog::NoteNewestToDeliver(Segments::iterator last, const std::string& key) {
   const auto [newest, first] = newest_to_deliver_.try_emplace(key, last->first);
   if (first || newest->second == last->first) return;
   const auto older = segments_.find(std::exchange(newest->second, last->first));
--- a/src/relay/merged_backlog.h
+++ b/src/relay/merged_backlog.h
@@ -53,6 +53,7 @@
 
   bool WouldHide(const std::vector<StoredEventPtr>& events) const;
   void AddOne(Segments::iterator last, const StoredEventPtr& event);
+  void NoteNewestToDeliver(Segments::iterator last, const std::string& key);
   // The event that must be delivered of this key in `segment` and that no newer one stands in for.
   bool KeepsApart(Segments::const_iterator segment, std::string_view key) const;
   void CountKeptApart(Segments::iterator segment);
--- a/src/relay/reads.cpp
+++ b/src/relay/reads.cpp
@@ -136,7 +136,7 @@
 
 void Reads::RequestProgress(Time now, Actions* actions) {
   progress_requested_ = now;
-  actions->push_back(Relay::RequestUpstreamProgress{});
+  actions->emplace_back(std::in_place_type<Relay::RequestUpstreamProgress>);
 }
 
 void Reads::Fail(Order order, Code code, std::string why, Actions* actions) {
--- a/src/relay/subscribers.cpp
+++ b/src/relay/subscribers.cpp
@@ -150,6 +150,7 @@
 void Subscribers::AddToBacklog(SubscriberId id, Subscriber* subscriber, const Batch& batch,
                                const CachePosition& position) {
   if (CannotCross(*subscriber, batch)) return TellToReread(id, subscriber, batch.to);
+  subscriber->crossed_difference |= batch.difference;
   subscriber->backlog->Add(batch.to, Wanted(*subscriber, batch));
   CountMerged(subscriber);
   if (subscriber->counted > settings_.merged_events) TellToReread(id, subscriber, position.revision);
@@ -204,6 +205,7 @@
       return false;
     }
     subscriber->batch = batch;
+    subscriber->crossed_difference |= batch->difference;
     subscriber->sending_revision = batch->to;
     if (NextToSend(subscriber, &previous) != nullptr) return true;
     FinishSending(subscriber);
@@ -228,6 +230,7 @@
 
 void Subscribers::GiveEvents(Subscriber* subscriber, std::size_t max_bytes, pb::WatchResponse* response) {
   std::size_t bytes = 0;
+  std::int64_t last_revision = 0;
   KeyValuePtr previous;
   while (const StoredEvent* stored = NextToSend(subscriber, &previous)) {
     if (!subscriber->prev_kv) previous.reset();
@@ -237,12 +240,17 @@
       return;
     }
     bytes += size;
+    last_revision = stored->revision();
     pb::Event* event = response->add_events();
     event->set_type(stored->deletion ? pb::Event::DELETE : pb::Event::PUT);
     *event->mutable_kv() = *stored->kv;
     if (previous) *event->mutable_prev_kv() = *previous;
     ++subscriber->sent;
   }
+  // A reader names the last event's revision, as etcd's headers don't bind it to more. After a difference its
+  // state is that of the difference's end: it learns so by progress.
+  if (std::exchange(subscriber->crossed_difference, false) && last_revision < subscriber->sending_revision)
+    subscriber->progress_due = true;
   FinishSending(subscriber);
 }
 
--- a/src/relay/subscribers.h
+++ b/src/relay/subscribers.h
@@ -68,6 +68,7 @@
     std::int64_t compacted = 0;      // not 0: canceled, this revision and all before are compacted
     bool awake = false;              // has something to send; if not, it has been given all there was
     bool progress_due = false;
+    bool crossed_difference = false;  // what is being sent, or merged, holds a difference of snapshots
     Time last_message{0};
     std::uint64_t cursor = 0;                // while awake and not slow: the next batch in the window
     std::unique_ptr<MergedBacklog> backlog;  // while slow
--- a/tests/relay/slow_test.cpp
+++ b/tests/relay/slow_test.cpp
@@ -2,6 +2,7 @@
 //
 // Slow subscribers: their backlog merged by key, what must not be merged away, and its bounds.
 #include <random>
+#include <set>
 
 #include "relay/harness.h"
 #include "relay/merged_backlog.h"
@@ -248,6 +249,15 @@
   EXPECT_EQ(relay.ended.size(), 2u);
 }
 
+// A batch that ends what kept a segment apart and in the same revision needs it kept apart for another key.
+TEST_F(RelaySlowTest, ABatchWithAnotherKeysDrainKeepsADeletionApart) {
+  relay_.Event(Put("/p/b", "drain", 11));
+  relay_.Event(Deleted("/p/c", 12));
+  relay_.Events(13, {Put("/p/b", "drain again", 13), Put("/p/c", "back", 13)});
+  EXPECT_EQ(relay_.Messages(1),
+            (Messages{{"PUT b=drain@11", "DELETE c@12"}, {"PUT b=drain again@13", "PUT c=back@13"}}));
+}
+
 // The backlog alone against all that happened: every segment's end is exact, what must be delivered is seen
 // before what replaces it, and what is held is bounded by the keys.
 TEST(MergedBacklogTest, IsExactAtEachSegmentsEndFromFixedSeeds) {
@@ -282,22 +292,29 @@
       ++segments;
     };
     for (int step = 0; step < 400; ++step) {
-      const std::string key = "k" + std::to_string(draw(6));
-      auto event = std::make_shared<StoredEvent>();
-      event->deletion = state.count(key) && draw(5) == 0;
-      event->must_deliver = event->deletion || draw(4) == 0;
-      if (state.count(key)) event->previous = std::make_shared<pb::KeyValue>(Kv(key, state[key], 1));
-      const std::string value = "v" + std::to_string(++revision);
-      event->kv = std::make_shared<pb::KeyValue>(event->deletion ? Deleted(key, revision).kv()
-                                                                 : Kv(key, value, revision));
-      if (event->deletion) {
-        state.erase(key);
-      } else {
-        state[key] = value;
+      // Up to four keys in one revision.
+      ++revision;
+      std::vector<StoredEventPtr> batch;
+      std::set<std::string> keys;
+      for (unsigned i = 0; i < 1 + draw(4); ++i) keys.insert("k" + std::to_string(draw(6)));
+      for (const std::string& key : keys) {
+        auto event = std::make_shared<StoredEvent>();
+        event->deletion = state.count(key) && draw(5) == 0;
+        event->must_deliver = event->deletion || draw(4) == 0;
+        if (state.count(key)) event->previous = std::make_shared<pb::KeyValue>(Kv(key, state[key], 1));
+        const std::string value = "v" + std::to_string(revision);
+        event->kv = std::make_shared<pb::KeyValue>(event->deletion ? Deleted(key, revision).kv()
+                                                                   : Kv(key, value, revision));
+        if (event->deletion) {
+          state.erase(key);
+        } else {
+          state[key] = value;
+        }
+        if (event->must_deliver) to_see[key] = revision;
+        batch.push_back(std::move(event));
       }
-      if (event->must_deliver) to_see[key] = revision;
       states[revision] = state;
-      backlog.Add(revision, {event});
+      backlog.Add(revision, batch);
       ASSERT_LE(backlog.segments(), 7u);
       ASSERT_LE(backlog.size(), 6u * 7);
       if (draw(30) == 0) take();
--- a/tests/relay/upstream_test.cpp
+++ b/tests/relay/upstream_test.cpp
@@ -47,6 +47,16 @@
   EXPECT_TRUE(relay_.ended.empty()) << "one who was current goes on";
 }
 
+// Its last event says 15, and the state is that at 20: progress follows at once, without a request.
+TEST_F(RelayUpstreamTest, ADifferenceThatEndsBeforeItsRevisionIsFollowedByProgress) {
+  relay_.Snapshot(20, {Kv("/p/a", "new", 15, 3), Kv("/p/b", "2", 10)});
+  const auto messages = relay_.TakeAll(1);
+  ASSERT_EQ(messages.size(), 2u);
+  EXPECT_EQ(Text(messages[0]), (Strings{"PUT a=new@15"}));
+  EXPECT_EQ(messages[1].events_size(), 0);
+  EXPECT_EQ(messages[1].header().revision(), 20);
+}
+
 // Keys that came and went between the snapshots are in no difference: who holds a state in between would keep
 // them. Who holds that at its beginning, or one in the window before it, can go on.
 TEST_F(RelayUpstreamTest, NobodyResumesInsideADifference) {
