Play the crossings by a virtual clock and in four processes

A run took 72 to 75 s, of which 20 s were processor time; the rest was waiting: 30 ms for each pause (647 of them), 20 and 40 ms for requests with little time left, 10 ms for the stop, 45 ms for a list that is silent and asked for again. Measured by phase in the old test: 40.6 s in the steps, 10.5 s for the last word of a drain, 6.3 s after the end, 4.5 s before the start, 3.0 s to warm up.

Shorter waits were ruled out: what a busy machine takes away would have become a larger share of them. Now the steady clock and Asio's timers go by a clock that the test moves: 0.1 ms a handler, the whole length of a pause, and to the next timer where nothing is ready. The plays, which don't depend on one another, run in up to four processes, whose totals and failures are summed. No event, pair, step or check is left out; the least number of steps is 5,796 in place of 3,000, that of pairs 1,542 in place of 800, and the number of planted faults is checked.

All addresses have the same length in writing now: a list longer by a digit was read in two pieces, and the play had two steps more. So the number of plays no longer depends on the process's number or on how many plays went before.

--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -1,24 +1,33 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // Crossings: what happens when an event comes between any two handlers of an exchange. The proxy's real parts
-// and its peers run on one io_context, a handler at a time; the same exchange is played again and again with
-// an event put in before step 0, 1, 2, … until it is over, and pairs of events at any two steps. After each
-// play the four rules are checked by what the peers saw, and that nothing is left behind. A planted fault for
-// each rule shows that the checks can fail.
+// and its peers run on one io_context, a handler at a time, by a clock of the test's own; the same exchange
+// is played again and again with an event put in before step 0, 1, 2, … until it is over, and pairs of events
+// at any two steps. After each play the four rules are checked by what the peers saw, and that nothing is
+// left behind. A planted fault for each rule shows that the checks can fail.
 #include <gtest/gtest.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <boost/json.hpp>
+#include <cerrno>
 #include <cstdio>
+#include <cstdlib>
 #include <deque>
 #include <filesystem>
+#include <functional>
 #include <iostream>
 #include <map>
 #include <optional>
 #include <set>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <system_error>
 #include <thread>
 
 #include "node_harness.h"
+#include "virtual_clock.h"
 
 namespace badgerbridge::node::testing {
 namespace {
@@ -85,6 +94,9 @@
 struct Found {
   int lost = 0, twice = 0, late = 0, leaked = 0;
   int all() const { return lost + twice + late + leaked; }
+  void Add(const Found& other) {
+    lost += other.lost, twice += other.twice, late += other.late, leaked += other.leaked;
+  }
 };
 
 std::size_t Descriptors() {
@@ -131,12 +143,15 @@
 }
 
 // Each play has an address of its own: thousands of them leave more closed connections behind than one
-// address has ports, and bind fails then.
-tcp::endpoint OwnPlace() {
+// address has ports, and bind fails then. All are of one length in writing: a list that is longer by a digit
+// may be read in two pieces in place of one, and the play has other steps then.
+tcp::endpoint OwnAddress() {
+  constexpr unsigned kFirst = 100, kValues = 150;  // of three digits each
   static unsigned plays = 0;
   const unsigned number = plays++;
-  return {asio::ip::make_address_v4(127u << 24 | (128 + static_cast<unsigned>(getpid()) % 120) << 16 |
-                                    (number / 250 % 250) << 8 | (1 + number % 250)),
+  const unsigned by_process = 128 + static_cast<unsigned>(getpid()) % 120;
+  return {asio::ip::make_address_v4(127u << 24 | by_process << 16 |
+                                    (kFirst + number / kValues % kValues) << 8 | (kFirst + number % kValues)),
           0};
 }
 
@@ -146,7 +161,7 @@
       : exchange_(exchange), events_(std::move(events)), plant_(plant) {
     for (std::size_t i = 0; i < kBackends; ++i) {
       backends_.push_back(std::make_unique<Peer>(
-          io_, [this, i](Wire& wire) { Serve(i, wire); }, place_));
+          io_, [this, i](Wire& wire) { Serve(i, wire); }, address_));
       names_[static_cast<std::size_t>(i)] = "s-" + std::to_string(i);
     }
     for (auto* peer : {&discovery_, &moved_to_})
@@ -155,9 +170,10 @@
           [this](Wire& wire) {
             wire.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Chunk(ListOf(true) + "\n"));
           },
-          place_);
-    Config config = TestConfig({});
-    config.listen = place_;
+          address_);
+    static const Config kConfig = TestConfig({});
+    Config config = kConfig;
+    config.listen = address_;
     config.settings.classes[1].window = Duration(exchange.window);
     pool_.emplace(io_, clock_, Backends::Limits::From(config));
     pool_->OnBegin([this](ServerId server, const Forwarded& request) { Begun(server, request); });
@@ -195,7 +211,7 @@
 
   // Steps that it took. Also false where it never came to its end.
   std::size_t Run(Found* found) {
-    EXPECT_TRUE(RunUntil(io_, [&] { return ids_.size() == kBackends && pool_->AnyReady(); }));
+    EXPECT_TRUE(RunUntil([&] { return ids_.size() == kBackends && pool_->AnyReady(); }));
     if (exchange_.warm) Warm();
     playing_ = true;
     client_ = Connect();
@@ -212,23 +228,22 @@
         ++found->lost;
         break;
       }
-      io_.restart();
-      if (io_.poll_one() == 0) {
+      if (!RunHandler()) {
         Connected();  // nothing else is left to do
-        io_.run_one_for(std::chrono::milliseconds(50));
+        RunHandlerOrWait();
       }
       if (client_->closed && !client_gone_) client_->Close(), client_gone_ = true;
     }
     Judge(found);
     client_->Close();
     plant_ = plant_ == Plant::kDrainHeldBack ? Plant::kNone : plant_;
-    if (!RunUntil(io_, [&] {
+    if (!RunUntil([&] {
           Connected();
           return listener_->connections() == 0 && Ended() && (!terminated_ || stopped_);
         }))
       ++found->leaked;
     // What a drain or a silent list held is told in the end.
-    if (drained_ && !RunUntil(io_, [&] { return told_off_.count(*drained_) > 0; })) ++found->late;
+    if (drained_ && !RunUntil([&] { return told_off_.count(*drained_) > 0; })) ++found->late;
     if (proxy_->open() != 0 || pool_->open() > 16 * kBackends) ++found->leaked;
     found->late += late_;
     found->twice += forgotten_;
@@ -252,6 +267,8 @@
 
  private:
   static constexpr std::size_t kBackends = 3;
+  static constexpr auto kHandlerTime = std::chrono::microseconds(100);  // what each handler is taken to need
+  static constexpr auto kMostWait = std::chrono::milliseconds(50);  // for a handler, where no timer is set
 
   struct Seen {
     std::size_t backend;
@@ -273,6 +290,38 @@
     return ListJson(drained_ ? 9 : 8, snapshot, endpoints);
   }
 
+  // One handler, if one is ready. The kernel may hand over on another thread what has just been sent: it gets
+  // the processor before "none is ready" is believed.
+  bool RunHandler() {
+    constexpr int kLooks = 2;
+    for (int look = 0; look < kLooks; ++look) {
+      io_.restart();
+      if (io_.poll_one() > 0) {
+        virtual_clock_.Advance(kHandlerTime);
+        return true;
+      }
+      std::this_thread::yield();
+    }
+    return false;
+  }
+
+  void RunHandlerOrWait() {
+    if (RunHandler()) return;
+    virtual_clock_.AdvanceToNextTimer(kMostWait);
+    RunHandler();
+  }
+
+  // False if the condition does not hold within a time far beyond any need.
+  template <typename Condition>
+  bool RunUntil(Condition holds) {
+    const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (!holds()) {
+      if (std::chrono::steady_clock::now() > limit) return false;
+      RunHandlerOrWait();
+    }
+    return true;
+  }
+
   std::shared_ptr<Wire> Connect() {
     tcp::socket socket(io_);
     socket.connect(listener_->address());
@@ -287,13 +336,13 @@
       clients.push_back(Connect());
       clients.back()->Send(Get("w" + std::to_string(i)));
     }
-    EXPECT_TRUE(RunUntil(io_, [&] {
+    EXPECT_TRUE(RunUntil([&] {
       Connected();
       return std::all_of(clients.begin(), clients.end(),
                          [](const auto& c) { return AnswersIn(c->in).size() == 1; });
     }));
     for (const auto& client : clients) client->Close();
-    EXPECT_TRUE(RunUntil(io_, [&] { return listener_->connections() == 0; }));
+    EXPECT_TRUE(RunUntil([&] { return listener_->connections() == 0; }));
     seen_.clear();
   }
 
@@ -412,7 +461,7 @@
       case Event::kHup:
         return watch_->MoveTo(moved_to_->endpoint());
       case Event::kPause:
-        return std::this_thread::sleep_for(std::chrono::milliseconds(30));
+        return virtual_clock_.Advance(std::chrono::milliseconds(30));
     }
   }
 
@@ -471,7 +520,8 @@
   const Exchange& exchange_;
   std::vector<At> events_;
   Plant plant_;
-  const tcp::endpoint place_ = OwnPlace();
+  const tcp::endpoint address_ = OwnAddress();
+  badgerbridge::testing::VirtualClock virtual_clock_;  // ahead of all that reads it
   asio::io_context io_;
   NodeClock clock_;
   std::vector<std::unique_ptr<Peer>> backends_;
@@ -550,60 +600,142 @@
   return all;
 }
 
-TEST(Crossings, EveryEventBetweenAnyTwoSteps) {
+// What some of the plays found, and how many there were.
+struct Totals {
   Found found;
   std::size_t plays = 0, steps = 0, pairs = 0;
-  const auto play = [&](const Exchange& exchange, std::vector<At> events) {
-    Found now;
-    std::string what = exchange.name;
-    for (const At& at : events) what += std::string(", ") + NameOf(at.event) + "@" + std::to_string(at.step);
-    const std::size_t taken = PlayOnce(exchange, std::move(events), &now);
-    ++plays;
-    if (now.all() > 0)
-      std::cout << what << ": lost " << now.lost << ", twice " << now.twice << ", late " << now.late
-                << ", leaked " << now.leaked << '\n';
-    found.lost += now.lost, found.twice += now.twice, found.late += now.late, found.leaked += now.leaked;
-    return taken;
-  };
+
+  void Add(const Totals& other) {
+    found.Add(other.found);
+    plays += other.plays, steps += other.steps, pairs += other.pairs;
+  }
+};
+
+std::size_t PlayAndCount(const Exchange& exchange, const std::vector<At>& events, Totals* totals) {
+  Found now;
+  const std::size_t taken = PlayOnce(exchange, events, &now);
+  ++totals->plays;
+  totals->found.Add(now);
+  if (now.all() == 0) return taken;
+  std::string what = exchange.name;
+  for (const At& at : events) what += std::string(", ") + NameOf(at.event) + "@" + std::to_string(at.step);
+  std::cout << what << ": lost " << now.lost << ", twice " << now.twice << ", late " << now.late
+            << ", leaked " << now.leaked << '\n';
+  return taken;
+}
+
+// Until the event comes after the end.
+void PlayAtEachStep(const Exchange& exchange, Event event, Totals* totals) {
+  constexpr std::size_t kMostSteps = 200;
+  for (std::size_t step = 0;; ++step) {
+    ++totals->steps;
+    if (PlayAndCount(exchange, {{step, event}}, totals) < step) return;
+    if (step > kMostSteps) FAIL() << exchange.name << " does not end";
+  }
+}
+
+// Two events of one exchange: the first at any step, the second at any other.
+struct Pair {
+  const char* exchange;
+  Event first, second;
+};
+constexpr Pair kPairs[] = {
+    {"unsafe, slow dial", Event::kClientFin, Event::kConnected},
+    {"keyed, reset once, slow dial", Event::kClientFin, Event::kConnected},
+    {"unsafe, slow dial", Event::kDrain, Event::kConnected},
+    {"safe, new connection", Event::kTerm, Event::kNextRequest},
+    {"unsafe, silent", Event::kBackendAnswers, Event::kPause},
+    {"unsafe, idle connection", Event::kListSilent, Event::kDrain},
+};
+constexpr std::size_t kMostPairSteps = 16;
+
+void PlayPairs(const Exchange& exchange, const Pair& pair, std::size_t first_step, std::size_t most_steps,
+               Totals* totals) {
+  for (std::size_t second_step = 0; second_step <= most_steps; ++second_step) {
+    ++totals->pairs;
+    PlayAndCount(exchange, {{first_step, pair.first}, {second_step, pair.second}}, totals);
+  }
+}
+
+const Exchange& ExchangeOf(std::string_view name) {
+  const auto found = std::find_if(Exchanges().begin(), Exchanges().end(),
+                                  [&](const Exchange& exchange) { return exchange.name == name; });
+  if (found == Exchanges().end()) throw std::logic_error("no such exchange: " + std::string(name));
+  return *found;
+}
+
+using Work = std::function<void(Totals*)>;
+
+// The plays with events, in pieces that don't depend on one another. The plays without are made here.
+std::vector<Work> AllWork(Totals* totals) {
+  std::vector<Work> work;
   std::map<std::string, std::size_t> length;
   for (const Exchange& exchange : Exchanges()) {
-    length[exchange.name] = play(exchange, {});
-    for (const Event event : kEvents) {
-      // Until the event comes after the end.
-      for (std::size_t step = 0;; ++step) {
-        ++steps;
-        if (play(exchange, {{step, event}}) < step) break;
-        if (step > 200) FAIL() << exchange.name << " does not end";
-      }
-    }
+    length[exchange.name] = PlayAndCount(exchange, {}, totals);
+    for (const Event event : kEvents)
+      work.push_back([&exchange, event](Totals* into) { PlayAtEachStep(exchange, event, into); });
   }
-  // Pairs: the first at any step, the second at any other.
-  struct Pair {
-    const char* exchange;
-    Event first, second;
-  };
-  constexpr Pair kPairs[] = {
-      {"unsafe, slow dial", Event::kClientFin, Event::kConnected},
-      {"keyed, reset once, slow dial", Event::kClientFin, Event::kConnected},
-      {"unsafe, slow dial", Event::kDrain, Event::kConnected},
-      {"safe, new connection", Event::kTerm, Event::kNextRequest},
-      {"unsafe, silent", Event::kBackendAnswers, Event::kPause},
-      {"unsafe, idle connection", Event::kListSilent, Event::kDrain},
-  };
   for (const Pair& pair : kPairs) {
-    const auto exchange = std::find_if(Exchanges().begin(), Exchanges().end(), [&](const Exchange& e) {
-      return std::string(e.name) == pair.exchange;
-    });
-    ASSERT_NE(exchange, Exchanges().end());
-    const std::size_t most = std::min<std::size_t>(length[pair.exchange], 16);
-    for (std::size_t i = 0; i <= most; ++i) {
-      for (std::size_t j = 0; j <= most; ++j) {
-        ++pairs;
-        play(*exchange, {{i, pair.first}, {j, pair.second}});
-      }
+    const Exchange& exchange = ExchangeOf(pair.exchange);
+    const std::size_t most = std::min(length[pair.exchange], kMostPairSteps);
+    for (std::size_t first = 0; first <= most; ++first)
+      work.push_back([&, first, most](Totals* into) { PlayPairs(exchange, pair, first, most, into); });
+  }
+  return work;
+}
+
+// Does each `stride`-th piece in a process of its own, which writes its totals into a pipe. It ends by exit,
+// so that the sanitizers look for leaks in it too.
+class Worker {
+ public:
+  Worker(const std::vector<Work>& work, std::size_t first, std::size_t stride) {
+    int ends[2];
+    if (::pipe(ends) != 0) throw std::system_error(errno, std::generic_category(), "pipe");
+    std::cout.flush();
+    std::fflush(nullptr);
+    process_ = ::fork();
+    if (process_ < 0) throw std::system_error(errno, std::generic_category(), "fork");
+    if (process_ > 0) {
+      ::close(ends[1]);
+      totals_from_ = ends[0];
+      return;
     }
+    ::close(ends[0]);
+    Totals totals;
+    for (std::size_t i = first; i < work.size(); i += stride) work[i](&totals);
+    std::cout.flush();
+    const bool written = ::write(ends[1], &totals, sizeof totals) == sizeof totals;
+    std::exit(written && !::testing::Test::HasFailure() ? 0 : 1);
   }
 
+  // Waits for its end. Its failures are this process's.
+  void Join(Totals* totals) {
+    Totals its;
+    EXPECT_EQ(::read(totals_from_, &its, sizeof its), static_cast<ssize_t>(sizeof its));
+    ::close(totals_from_);
+    int status = -1;
+    EXPECT_EQ(::waitpid(process_, &status, 0), process_);
+    EXPECT_EQ(status, 0) << "a worker failed";
+    totals->Add(its);
+  }
+
+ private:
+  pid_t process_ = -1;
+  int totals_from_ = -1;
+};
+
+void RunInProcesses(const std::vector<Work>& work, Totals* totals) {
+  constexpr unsigned kMostWorkers = 4;
+  const unsigned count = std::clamp(std::thread::hardware_concurrency(), 1u, kMostWorkers);
+  std::vector<Worker> workers;
+  for (unsigned i = 0; i < count; ++i) workers.emplace_back(work, i, count);
+  for (Worker& worker : workers) worker.Join(totals);
+}
+
+TEST(Crossings, EveryEventBetweenAnyTwoSteps) {
+  Totals totals;
+  RunInProcesses(AllWork(&totals), &totals);
+
   // Each fault planted is found, by the rule that it breaks.
   int planted = 0, caught = 0;
   const auto plant = [&](std::size_t exchange, std::vector<At> events, Plant what, int Found::*rule) {
@@ -622,12 +754,15 @@
   plant(2, {{0, Event::kClientFin}}, Plant::kLeaveNotSeen, &Found::late);
   plant(0, {}, Plant::kDescriptorKept, &Found::leaked);
 
-  std::cout << "crossings: exchanges=" << plays << " steps=" << steps << " pairs=" << pairs
-            << " lost=" << found.lost << " twice=" << found.twice << " late=" << found.late
-            << " leaked=" << found.leaked << " planted_caught=" << caught << "/" << planted << std::endl;
+  const Found& found = totals.found;
+  std::cout << "crossings: exchanges=" << totals.plays << " steps=" << totals.steps
+            << " pairs=" << totals.pairs << " lost=" << found.lost << " twice=" << found.twice
+            << " late=" << found.late << " leaked=" << found.leaked << " planted_caught=" << caught << "/"
+            << planted << std::endl;
   EXPECT_EQ(found.all(), 0);
-  EXPECT_GT(steps, 3000u);
-  EXPECT_GT(pairs, 800u);
+  EXPECT_GE(totals.steps, 5796u);
+  EXPECT_GE(totals.pairs, 1542u);
+  EXPECT_EQ(planted, 5);
 }
 
 }  // namespace
