--- a/src/etcd/follower.cpp
+++ b/src/etcd/follower.cpp
@@ -258,4 +258,11 @@
   Fail(now, why, actions);
 }
 
+void Follower::Reject(Time now, const std::string& why, Actions* actions) {
+  known_ = false;
+  if (state_ == State::kWaiting) return;
+  if (state_ == State::kConnecting) actions->push_back(Close{why});
+  Fail(now, why, actions);
+}
+
 }  // namespace badgerbridge::etcd
--- a/src/etcd/follower.h
+++ b/src/etcd/follower.h
@@ -102,6 +102,9 @@
   void WatchReceived(Time now, etcdserverpb::WatchResponse response, Actions* actions);
   void WatchEnded(Time now, const Status& status, Actions* actions);
   void Closed(Time now, const std::string& why, Actions* actions);
+  // What was given contradicts itself or what came before: gives up the connection, and the next one reads a
+  // snapshot, whatever its revision.
+  void Reject(Time now, const std::string& why, Actions* actions);
 
   Time NextWake() const { return wake_; }
   std::uint64_t cluster_id() const { return cluster_id_; }
--- a/src/etcd/follower_link.cpp
+++ b/src/etcd/follower_link.cpp
@@ -150,10 +150,18 @@
   boost::asio::post(io_, [ended, refused] { ended(refused); });
 }
 
-void FollowerLink::Do(Follower::RequestProgress&) {
+void FollowerLink::Do(Follower::RequestProgress&) { RequestProgress(); }
+
+void FollowerLink::RequestProgress() {
   pb::WatchRequest request;
   request.mutable_progress_request();
-  if (channel_) channel_->Send(watch_, request.SerializeAsString(), false);
+  if (channel_ && watch_ >= 0) channel_->Send(watch_, request.SerializeAsString(), false);
+}
+
+void FollowerLink::Reject(const std::string& why) {
+  Follower::Actions actions;
+  follower_.Reject(Now(), why, &actions);
+  Perform(std::move(actions));
 }
 
 void FollowerLink::Do(Follower::Close& action) {
--- a/src/etcd/follower_link.h
+++ b/src/etcd/follower_link.h
@@ -59,6 +59,10 @@
   // revision that is committed. UNAVAILABLE without a connection that takes calls; never waits for one.
   // `done` is called exactly once, within the call timeout, unless the link is destroyed first.
   void Confirm(OnConfirmed done);
+  // Asks the watch for its progress now, if there is one: on_progress follows.
+  void RequestProgress();
+  // See Follower::Reject.
+  void Reject(const std::string& why);
 
   const Follower& follower() const { return follower_; }
   static Time Now();  // monotonic
--- a/src/etcd/server.cpp
+++ b/src/etcd/server.cpp
@@ -156,7 +156,7 @@
   std::string bytes = http2_->TakeOutput();
   writing_ = false;
   if (closed_) return;
-  const bool go_on = !on_written || on_written(&bytes);
+  const bool go_on = !options_.written || options_.written(*this, &bytes);
   if (!bytes.empty()) {
     out_ = std::move(bytes);
     writing_ = true;
--- a/src/etcd/server.h
+++ b/src/etcd/server.h
@@ -22,6 +22,8 @@
 
 namespace badgerbridge::etcd {
 
+class ServerConnection;
+
 // Times of 0 bound nothing.
 struct ServerOptions {
   Http2ServerLimits limits;
@@ -33,8 +35,10 @@
   std::chrono::milliseconds ping_every{10000}, ping_timeout{5000};
   std::chrono::milliseconds idle_timeout{300000};  // without a call under way
   std::chrono::milliseconds stall_timeout{30000};  // without progress, though something is unsent
-  // For tests' faults; while true, a connection reads and writes nothing, but stays open.
+  // For tests' faults. While `silent`, a connection reads and writes nothing, but stays open. `written` may
+  // change the bytes that go out; false: the connection ends behind them.
   std::function<bool()> silent;
+  std::function<bool(const ServerConnection&, std::string*)> written;
 };
 
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
@@ -49,8 +53,6 @@
   // Sends what can be sent now. `on_progress` is called whenever bytes have left.
   void Flush();
   std::function<void()> on_progress;
-  // For tests' faults: may change the bytes that go out; false: the connection ends behind them.
-  std::function<bool(std::string*)> on_written;
   // Once: after every call's on_closed.
   std::function<void(const std::string& why)> on_disconnected;
 
--- a/src/operator/operator_file.cpp
+++ b/src/operator/operator_file.cpp
@@ -43,32 +43,6 @@
   return endpoint && endpoint->port() > 0;
 }
 
-void ReadLink(TableReader& table, EtcdLink& etcd) {
-  etcd.endpoints = table.Texts("endpoints");
-  for (const std::string& endpoint : etcd.endpoints) {
-    if (!GoodAddress(endpoint))
-      table.Report("endpoints", "holds \"" + endpoint +
-                                    "\", which is no address and port; \"127.0.0.1:2379\" would be right");
-  }
-  if (table.Has("endpoints") && (etcd.endpoints.empty() || etcd.endpoints.size() > 16))
-    table.Report("endpoints", "must name 1 to 16 members");
-  etcd.user = table.Text("user");
-  etcd.password_file = table.Text("password_file");
-  if (etcd.user.empty() != etcd.password_file.empty())
-    table.Report(etcd.user.empty() ? "password_file" : "user",
-                 "stands alone; user and password_file belong together");
-  etcd.certificate = table.Text("certificate");
-  etcd.key = table.Text("key");
-  etcd.client_authority = table.Text("authority_certificate");
-  etcd.server_name = table.Text("server_name");
-  if (etcd.certificate.empty() != etcd.key.empty() ||
-      etcd.certificate.empty() != etcd.client_authority.empty())
-    table.Report("certificate", "key and authority_certificate belong together: all three for TLS, or none");
-  etcd.ping_every = table.Duration("ping_every", etcd.ping_every, milliseconds(20), milliseconds(60000));
-  etcd.ping_timeout =
-      table.Duration("ping_timeout", etcd.ping_timeout, milliseconds(20), milliseconds(60000));
-}
-
 void ReadPrefix(TableReader& table, std::string& prefix) {
   const std::string usual = prefix;
   prefix = table.Text("prefix", usual);
@@ -86,7 +60,7 @@
   Etcd etcd;
   NeedsEtcd(table);
   table.Require("endpoints", "the members' addresses, as in endpoints = [\"127.0.0.1:2379\"]");
-  ReadLink(table, etcd);
+  ReadEtcdLink(table, etcd);
   ReadPrefix(table, etcd.prefix);
   const std::string authority = table.Text("authority", "etcd");
   if (authority != "etcd" && authority != "discovery")
@@ -106,7 +80,7 @@
   if (decide != "together" && decide != "alone")
     table.Report("decide", "is \"" + decide + "\"; together or alone would be right");
   regions.together = decide != "alone";
-  ReadLink(table, regions);
+  ReadEtcdLink(table, regions);
   for (const char* key : {"user", "password_file", "certificate", "key", "authority_certificate",
                           "server_name", "ping_every", "ping_timeout"}) {
     if (table.Has(key) && !table.Has("endpoints"))
@@ -172,6 +146,32 @@
 
 }  // namespace
 
+void ReadEtcdLink(TableReader& table, EtcdLink& etcd) {
+  etcd.endpoints = table.Texts("endpoints");
+  for (const std::string& endpoint : etcd.endpoints) {
+    if (!GoodAddress(endpoint))
+      table.Report("endpoints", "holds \"" + endpoint +
+                                    "\", which is no address and port; \"127.0.0.1:2379\" would be right");
+  }
+  if (table.Has("endpoints") && (etcd.endpoints.empty() || etcd.endpoints.size() > 16))
+    table.Report("endpoints", "must name 1 to 16 members");
+  etcd.user = table.Text("user");
+  etcd.password_file = table.Text("password_file");
+  if (etcd.user.empty() != etcd.password_file.empty())
+    table.Report(etcd.user.empty() ? "password_file" : "user",
+                 "stands alone; user and password_file belong together");
+  etcd.certificate = table.Text("certificate");
+  etcd.key = table.Text("key");
+  etcd.client_authority = table.Text("authority_certificate");
+  etcd.server_name = table.Text("server_name");
+  if (etcd.certificate.empty() != etcd.key.empty() ||
+      etcd.certificate.empty() != etcd.client_authority.empty())
+    table.Report("certificate", "key and authority_certificate belong together: all three for TLS, or none");
+  etcd.ping_every = table.Duration("ping_every", etcd.ping_every, milliseconds(20), milliseconds(60000));
+  etcd.ping_timeout =
+      table.Duration("ping_timeout", etcd.ping_timeout, milliseconds(20), milliseconds(60000));
+}
+
 OperatorFile Parse(std::string_view text, const std::string& file, Problems& problems) {
   OperatorFile out;
   const auto root = ParseToml(text, file, problems);
--- a/src/operator/operator_file.h
+++ b/src/operator/operator_file.h
@@ -70,6 +70,10 @@
 OperatorFile Parse(std::string_view text, const std::string& file, Problems& problems);
 OperatorFile Load(const std::string& path, Problems& problems);
 
+// The keys of an EtcdLink in a table of another file; the caller finishes the table.
+class TableReader;
+void ReadEtcdLink(TableReader& table, EtcdLink& link);
+
 }  // namespace badgerbridge::operator_file
 
 #endif  // BADGERBRIDGE_OPERATOR_OPERATOR_FILE_H_
--- /dev/null
+++ b/tests/relay/program_test.cpp
@@ -0,0 +1,200 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// badgerrelay as a program: arguments, its file, signals, its status socket.
+#include <gtest/gtest.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <fstream>
+
+#include "api/address.h"
+#include "etcd/key_range.h"
+#include "relay/service_harness.h"
+#include "standins/certificates.h"
+
+namespace badgerbridge::relay {
+namespace {
+
+// A child with its standard error in a file.
+class Program {
+ public:
+  Program(std::vector<std::string> arguments, std::string log) : log_(std::move(log)) {
+    arguments.insert(arguments.begin(), RELAY_PATH);
+    std::vector<char*> pointers;
+    for (std::string& argument : arguments) pointers.push_back(argument.data());
+    pointers.push_back(nullptr);
+    pid_ = fork();
+    if (pid_ != 0) return;
+    if (!std::freopen(log_.c_str(), "w", stderr) || !std::freopen("/dev/null", "w", stdout)) _exit(126);
+    execv(RELAY_PATH, pointers.data());
+    _exit(127);
+  }
+  ~Program() {
+    if (!ended()) kill(pid_, SIGKILL), waitpid(pid_, nullptr, 0);
+  }
+  Program(const Program&) = delete;
+  Program& operator=(const Program&) = delete;
+
+  void Signal(int number) const { kill(pid_, number); }
+  bool ended() {
+    if (!status_) {
+      int status = 0;
+      if (waitpid(pid_, &status, WNOHANG) == pid_) status_ = status;
+    }
+    return status_.has_value();
+  }
+  int exit_code() const { return status_ && WIFEXITED(*status_) ? WEXITSTATUS(*status_) : -1; }
+  std::string Log() const {
+    std::ifstream file(log_);
+    return {std::istreambuf_iterator<char>(file), {}};
+  }
+  // From the line that it writes once it serves.
+  std::optional<tcp::endpoint> Address() const {
+    const std::string log = Log();
+    const std::size_t at = log.find(" on ");
+    const std::size_t end = log.find('\n', at);
+    if (at == std::string::npos || end == std::string::npos) return std::nullopt;
+    return api::ParseAddress(log.substr(at + 4, end - at - 4));
+  }
+
+ private:
+  std::string log_;
+  pid_t pid_ = -1;
+  std::optional<int> status_;
+};
+
+class ProgramTest : public ServiceTest {
+ protected:
+  void SetUp() override {
+    char name[] = "/tmp/badgerrelayXXXXXX";
+    ASSERT_NE(mkdtemp(name), nullptr);
+    directory = name;
+  }
+  void TearDown() override {
+    for (const char* file : {"log", "relay.toml", "authority.pem", "relay.pem", "relay.key", "reader.pem",
+                             "reader.key", "status"})
+      unlink((directory + "/" + file).c_str());
+    rmdir(directory.c_str());
+  }
+  std::unique_ptr<Program> Run(std::vector<std::string> more = {}) {
+    std::vector<std::string> arguments = {
+        "--listen", "127.0.0.1:0", "--upstream", api::ToText(etcd->address(0)), "--prefix", kPrefix};
+    arguments.insert(arguments.end(), more.begin(), more.end());
+    return std::make_unique<Program>(arguments, directory + "/log");
+  }
+  void WriteFile(const std::string& text) { std::ofstream(directory + "/relay.toml") << text; }
+
+  std::string directory;
+};
+
+TEST_F(ProgramTest, ServesUntilSigtermAndExitsWithZero) {
+  StartEtcd();
+  WriteFile("drain_period = \"200ms\"\n");
+  const auto program = Run({"--config", directory + "/relay.toml"});
+  ASSERT_TRUE(Until([&] { return program->Address().has_value(); })) << program->Log();
+  const auto reader = MakeReader({*program->Address()});
+  ASSERT_TRUE(Until([&] { return Holds(*reader); })) << reader->last_error;
+  Put("m1", "Terminating");
+  ASSERT_TRUE(Until([&] { return reader->drains[kPrefix + "m1"] == 1; }));
+  program->Signal(SIGTERM);
+  ASSERT_TRUE(Until([&] { return program->ended(); }));
+  EXPECT_EQ(program->exit_code(), 0) << program->Log();
+  EXPECT_GT(reader->disconnects, 0);
+  EXPECT_EQ(reader->keys, Truth());  // what it had, it has
+}
+
+TEST_F(ProgramTest, ASecondSignalEndsItAtOnce) {
+  StartEtcd();
+  WriteFile("drain_period = \"10m\"\n");
+  const auto program = Run({"--config", directory + "/relay.toml"});
+  ASSERT_TRUE(Until([&] { return program->Address().has_value(); })) << program->Log();
+  const auto reader = MakeReader({*program->Address()});
+  ASSERT_TRUE(Until([&] { return Holds(*reader); })) << reader->last_error;
+  program->Signal(SIGTERM);
+  ASSERT_TRUE(Until([&] { return program->Log().find("shuts down") != std::string::npos; }));
+  EXPECT_FALSE(program->ended());
+  program->Signal(SIGTERM);
+  ASSERT_TRUE(Until([&] { return program->ended(); }));
+  EXPECT_EQ(program->exit_code(), 0);
+}
+
+TEST_F(ProgramTest, WhatIsWrongIsSaidInALine) {
+  StartEtcd();
+  const auto expect = [&](std::vector<std::string> arguments, const std::string& text) {
+    Program program(std::move(arguments), directory + "/log");
+    ASSERT_TRUE(Until([&] { return program.ended(); }));
+    EXPECT_NE(program.exit_code(), 0);
+    EXPECT_NE(program.Log().find(text), std::string::npos) << program.Log();
+  };
+  expect({"--listen", "nowhere", "--upstream", "127.0.0.1:1", "--prefix", "/a/"}, "--listen");
+  expect({"--listen", "127.0.0.1:0", "--upstream", "127.0.0.1:1,x", "--prefix", "/a/"}, "--upstream: \"x\"");
+  expect({"--listen", "127.0.0.1:0", "--upstream", "127.0.0.1:1", "--prefix", ""}, "--prefix");
+  expect({"--listen", api::ToText(etcd->address(0)), "--upstream", "127.0.0.1:1", "--prefix", "/a/"},
+         "cannot listen on");
+  WriteFile("drain_perio = \"1s\"\n[bounds]\nwindow_bytes = \"many\"\n[readers]\ncertificate = \"a\"\n");
+  const std::vector<std::string> with_file = {
+      "--listen", "127.0.0.1:0", "--upstream", "127.0.0.1:1",
+      "--prefix", "/a/",         "--config",   directory + "/relay.toml"};
+  expect(with_file, "relay.toml:1");
+  expect(with_file, "relay.toml:3");
+  expect(with_file, "relay.toml:5");
+}
+
+TEST_F(ProgramTest, TheStatusSocketTellsRevisionUpstreamAndAge) {
+  StartEtcd();
+  const auto program = Run({"--status-socket", directory + "/status"});
+  ASSERT_TRUE(Until([&] { return program->Address().has_value(); })) << program->Log();
+  const auto reader = MakeReader({*program->Address()});
+  ASSERT_TRUE(Until([&] { return Holds(*reader); })) << reader->last_error;
+  boost::asio::local::stream_protocol::socket socket(io);
+  socket.connect(boost::asio::local::stream_protocol::endpoint(directory + "/status"));
+  boost::asio::write(
+      socket,
+      boost::asio::buffer(std::string("GET /v1/status HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")));
+  std::string text;
+  boost::system::error_code error;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(text), error);
+  const std::size_t body = text.find("\r\n\r\n");
+  ASSERT_NE(body, std::string::npos) << text;
+  const boost::json::value about = boost::json::parse(text.substr(body + 4));
+  EXPECT_EQ(about.at("revision").as_int64(), etcd->store().revision());
+  EXPECT_TRUE(about.at("upstream").at("connected").as_bool());
+  EXPECT_LT(about.at("upstream").at("heard_ms_ago").as_int64(), 60000);
+  EXPECT_EQ(about.at("readers").at("watches").as_int64(), 1);
+}
+
+TEST_F(ProgramTest, TlsForReadersNeedsTheirCertificate) {
+  StartEtcd();
+  const standins::Authority authority("authority");
+  authority.Write(directory + "/authority.pem");
+  authority.Issue("relay", directory + "/relay");
+  authority.Issue("reader", directory + "/reader");
+  WriteFile("[readers]\ncertificate = \"" + directory + "/relay.pem\"\nkey = \"" + directory +
+            "/relay.key\"\nclient_authority = \"" + directory + "/authority.pem\"\n");
+  const auto program = Run({"--config", directory + "/relay.toml"});
+  ASSERT_TRUE(Until([&] { return program->Address().has_value(); })) << program->Log();
+  etcd::FollowerLinkSettings settings;
+  settings.endpoints = {*program->Address()};
+  settings.follower.prefix = kPrefix;
+  settings.follower.min_step_timeout = milliseconds(500);
+  settings.channel.ping_every = settings.channel.ping_timeout = milliseconds(1000);
+  settings.channel.tls =
+      api::TlsFiles{directory + "/reader.pem", directory + "/reader.key", directory + "/authority.pem"};
+  std::size_t keys = 0;
+  etcd::FollowerLinkCallbacks callbacks;
+  callbacks.on_snapshot = [&](std::uint64_t, std::int64_t, std::vector<pb::KeyValue> kvs) {
+    keys = kvs.size();
+  };
+  const etcd::FollowerLink link(io, settings, 1, callbacks);
+  ASSERT_TRUE(Until([&] { return keys == 4; })) << link.follower().last_error() << program->Log();
+  // In cleartext, nothing.
+  const auto plain = MakeReader({*program->Address()});
+  ASSERT_TRUE(Until([&] { return plain->disconnects >= 2; }));
+  EXPECT_TRUE(plain->keys.empty());
+}
+
+}  // namespace
+}  // namespace badgerbridge::relay
--- /dev/null
+++ b/tests/relay/service_harness.h
@@ -0,0 +1,185 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// A stand-in etcd, relays below it and readers below them, all on one loop and real sockets.
+#ifndef BADGERBRIDGE_TESTS_RELAY_SERVICE_HARNESS_H_
+#define BADGERBRIDGE_TESTS_RELAY_SERVICE_HARNESS_H_
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "etcd/follower_link.h"
+#include "relay/relay_file.h"
+#include "relay/service.h"
+#include "standins/etcd.h"
+
+namespace badgerbridge::relay {
+
+using boost::asio::ip::tcp;
+using std::chrono::milliseconds;
+namespace pb = etcdserverpb;
+
+inline const std::string kPrefix = "/badgerbridge/converters/";
+
+inline std::string MemberValue(const std::string& name, const std::string& status = "Ready") {
+  return R"({"name":")" + name + R"(","address":"127.0.0.1:1","zone":"a","type":"x","group":1,"status":")" +
+         status + R"(","weight":1.0,"since_ms":0})";
+}
+
+// What a reader holds, and what no reader may ever see.
+class Reader {
+ public:
+  Reader(boost::asio::io_context& io, std::vector<tcp::endpoint> endpoints, std::uint64_t seed,
+         std::int64_t page_size = 1000) {
+    etcd::FollowerLinkSettings settings;
+    settings.endpoints = std::move(endpoints);
+    settings.follower.prefix = kPrefix;
+    settings.follower.page_size = page_size;
+    settings.follower.call_timeout = milliseconds(1000);
+    settings.follower.min_step_timeout = milliseconds(500);
+    settings.channel.ping_every = settings.channel.ping_timeout = milliseconds(1000);
+    etcd::FollowerLinkCallbacks callbacks;
+    callbacks.on_snapshot = [this](std::uint64_t cluster, std::int64_t at, std::vector<pb::KeyValue> kvs) {
+      keys.clear();
+      for (const pb::KeyValue& kv : kvs) Take(kv);
+      Reached(cluster, at);
+    };
+    callbacks.on_events = [this](std::uint64_t cluster, std::int64_t at, std::vector<pb::Event> events) {
+      for (const pb::Event& event : events) {
+        if (event.type() == pb::Event::DELETE) {
+          ++deletions[event.kv().key()];
+          keys.erase(event.kv().key());
+        } else {
+          Take(event.kv());
+        }
+      }
+      Reached(cluster, at);
+    };
+    callbacks.on_progress = [this](std::int64_t) { ++progress; };
+    callbacks.on_disconnected = [this](const std::string& why) {
+      ++disconnects;
+      last_error = why;
+    };
+    link = std::make_unique<etcd::FollowerLink>(io, settings, seed, std::move(callbacks));
+  }
+
+  void Take(const pb::KeyValue& kv) {
+    keys[kv.key()] = {kv.value(), kv.mod_revision()};
+    drains[kv.key()] += SaysDrain(kv);
+  }
+  void Reached(std::uint64_t cluster, std::int64_t at) {
+    went_back += cluster == cluster_id && at < revision;
+    cluster_id = cluster;
+    revision = at;
+  }
+  bool watching() const { return link->follower().watching(); }
+
+  std::map<std::string, std::pair<std::string, std::int64_t>> keys;
+  std::map<std::string, int> drains, deletions;  // seen, by key
+  std::uint64_t cluster_id = 0;
+  std::int64_t revision = 0;
+  int went_back = 0, disconnects = 0, progress = 0;
+  std::string last_error;
+  std::unique_ptr<etcd::FollowerLink> link;
+};
+
+class ServiceTest : public ::testing::Test {
+ protected:
+  void StartEtcd(standins::EtcdSettings settings = {}, int members = 4) {
+    etcd = std::make_unique<standins::Etcd>(io, settings);
+    for (int i = 0; i < members; ++i) Put("m" + std::to_string(i));
+  }
+  ServiceSettings RelaySettings(std::vector<tcp::endpoint> upstream) {
+    ServiceSettings settings;
+    settings.listen = tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0);
+    settings.upstream.endpoints = std::move(upstream);
+    settings.upstream.channel.ping_every = settings.upstream.channel.ping_timeout = milliseconds(1000);
+    settings.upstream.follower.min_step_timeout = milliseconds(500);
+    settings.relay.prefix = kPrefix;
+    settings.relay.member_id = 77;
+    settings.relay.must_deliver = SaysDrain;
+    settings.relay.progress_interval = Time(100);
+    return settings;
+  }
+  std::unique_ptr<Service> MakeRelayWith(ServiceSettings settings) {
+    return std::make_unique<Service>(io, std::move(settings), ++seed);
+  }
+  std::unique_ptr<Service> MakeRelay(std::vector<tcp::endpoint> upstream) {
+    return MakeRelayWith(RelaySettings(std::move(upstream)));
+  }
+  std::unique_ptr<Reader> MakeReader(std::vector<tcp::endpoint> endpoints, std::int64_t page_size = 1000) {
+    return std::make_unique<Reader>(io, std::move(endpoints), ++seed, page_size);
+  }
+
+  void Put(const std::string& name, const std::string& status = "Ready") {
+    etcd->Put(kPrefix + name, MemberValue(name, status));
+  }
+  void Delete(const std::string& name) { etcd->Delete(kPrefix + name); }
+
+  bool Until(const std::function<bool()>& holds, std::chrono::seconds bound = std::chrono::seconds(30)) {
+    const auto due = std::chrono::steady_clock::now() + bound;
+    while (!holds()) {
+      if (std::chrono::steady_clock::now() > due) return false;
+      io.restart();
+      if (io.poll() == 0) io.run_one_for(milliseconds(20));
+    }
+    return true;
+  }
+  void RunFor(milliseconds time) {
+    const auto due = std::chrono::steady_clock::now() + time;
+    Until([&] { return std::chrono::steady_clock::now() >= due; });
+  }
+
+  // The source's state, as a reader of all of it would hold it.
+  std::map<std::string, std::pair<std::string, std::int64_t>> Truth() const {
+    pb::RangeRequest request;
+    request.set_key(kPrefix);
+    request.set_range_end(etcd::PrefixRangeEnd(kPrefix));
+    pb::RangeResponse response;
+    EXPECT_TRUE(etcd->store().Range(request, &response).ok());
+    std::map<std::string, std::pair<std::string, std::int64_t>> truth;
+    for (const pb::KeyValue& kv : response.kvs()) truth[kv.key()] = {kv.value(), kv.mod_revision()};
+    return truth;
+  }
+  bool Holds(const Reader& reader) const { return reader.watching() && reader.keys == Truth(); }
+  bool Follows(const Service& relay) const {
+    return relay.status().connected && relay.status().revision == etcd->store().revision();
+  }
+
+  // One call on a connection of its own.
+  etcd::Status Call(const tcp::endpoint& address, const std::string& path, const std::string& message,
+                    std::string* answer = nullptr) {
+    std::optional<etcd::Status> ended;
+    const auto channel = OpenChannel(address);
+    channel->Unary(path, {}, message, milliseconds(10000), [&](etcd::Status status, std::string text) {
+      ended = std::move(status);
+      if (answer) *answer = std::move(text);
+    });
+    EXPECT_TRUE(Until([&] { return ended.has_value(); }));
+    channel->Close("done");
+    return ended.value_or(etcd::Status{etcd::Code::kUnknown, etcd::Ending::kLost, "never answered"});
+  }
+  std::shared_ptr<etcd::Channel> OpenChannel(const tcp::endpoint& address) {
+    etcd::ChannelOptions options;
+    options.connect_timeout = milliseconds(10000);
+    options.ping_every = options.ping_timeout = milliseconds(10000);
+    bool open = false;
+    const auto channel = etcd::Channel::Open(
+        io, address, options, [&open] { open = true; }, [](const std::string&) {});
+    EXPECT_TRUE(Until([&] { return open; }));
+    return channel;
+  }
+
+  boost::asio::io_context io{1};
+  std::uint64_t seed = 0;
+  std::unique_ptr<standins::Etcd> etcd;
+};
+
+}  // namespace badgerbridge::relay
+
+#endif  // BADGERBRIDGE_TESTS_RELAY_SERVICE_HARNESS_H_
--- /dev/null
+++ b/tests/relay/service_test.cpp
@@ -0,0 +1,525 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Relays on real sockets between a stand-in etcd and readers: reads and watches through one tier and two, and
+// every fault forced.
+#include "relay/service.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/write.hpp>
+
+#include "etcd/key_range.h"
+#include "relay/service_harness.h"
+
+namespace badgerbridge::relay {
+namespace {
+
+using etcd::Code;
+using standins::EtcdFault;
+using standins::EtcdSettings;
+
+constexpr char kRangePath[] = "/etcdserverpb.KV/Range";
+constexpr char kWatchPath[] = "/etcdserverpb.Watch/Watch";
+
+pb::RangeRequest ListRequest() {
+  pb::RangeRequest request;
+  request.set_key(kPrefix);
+  request.set_range_end(etcd::PrefixRangeEnd(kPrefix));
+  return request;
+}
+
+std::string CreateRequest(std::int64_t from, std::int64_t watch_id = 0, const std::string& key = kPrefix,
+                          const std::string& end = etcd::PrefixRangeEnd(kPrefix)) {
+  pb::WatchRequest request;
+  auto* create = request.mutable_create_request();
+  create->set_key(key);
+  create->set_range_end(end);
+  create->set_start_revision(from);
+  create->set_watch_id(watch_id);
+  return request.SerializeAsString();
+}
+
+// A watch stream of the test's own, message by message.
+struct WatchStream {
+  std::vector<pb::WatchResponse> responses;
+  std::optional<etcd::Status> ended;
+  std::shared_ptr<etcd::Channel> channel;
+  etcd::CallId call = -1;
+
+  void Open(std::shared_ptr<etcd::Channel> on, const std::string& first) {
+    channel = std::move(on);
+    etcd::CallHandler handler;
+    handler.on_message = [this](std::string_view text) {
+      responses.emplace_back();
+      EXPECT_TRUE(responses.back().ParseFromArray(text.data(), static_cast<int>(text.size())));
+    };
+    handler.on_end = [this](const etcd::Status& status) { ended = status; };
+    call = channel->Begin(kWatchPath, {}, first, false, std::move(handler));
+  }
+  ~WatchStream() {
+    if (channel) channel->Close("done");
+  }
+  std::size_t EventsOf(std::int64_t watch_id) const {
+    std::size_t count = 0;
+    for (const auto& response : responses)
+      count += response.watch_id() == watch_id ? static_cast<std::size_t>(response.events_size()) : 0;
+    return count;
+  }
+};
+
+TEST_F(ServiceTest, AReaderListsAndWatchesThroughOneRelay) {
+  StartEtcd();
+  const auto relay = MakeRelay({etcd->address(0)});
+  const auto reader = MakeReader({relay->address()}, 2);
+  ASSERT_TRUE(Until([&] { return Holds(*reader); })) << reader->last_error;
+  EXPECT_EQ(reader->cluster_id, 0x1234u);
+  Put("m9");
+  Delete("m1");
+  ASSERT_TRUE(Until([&] { return Holds(*reader); })) << reader->last_error;
+  EXPECT_EQ(reader->revision, etcd->store().revision());
+  EXPECT_EQ(reader->deletions[kPrefix + "m1"], 1);
+  EXPECT_EQ(reader->went_back, 0);
+  EXPECT_EQ(etcd->watches(), 1u);
+}
+
+TEST_F(ServiceTest, ADrainArrivesOverTwoTiersWithinItsBound) {
+  StartEtcd();
+  const auto region = MakeRelay({etcd->address(0)});
+  const auto zone = MakeRelay({region->address()});
+  const auto reader = MakeReader({zone->address()});
+  ASSERT_TRUE(Until([&] { return Holds(*reader); })) << reader->last_error;
+  EXPECT_EQ(reader->cluster_id, 0x1234u);  // the source's, whatever lies between
+  const auto began = std::chrono::steady_clock::now();
+  Put("m2", "Terminating");
+  ASSERT_TRUE(Until([&] { return reader->drains[kPrefix + "m2"] == 1; }));
+  const auto took = std::chrono::steady_clock::now() - began;
+  // The rule is 500 ms; the path has no timer, so that it takes a few. The bound here leaves a machine that
+  // is busy with other things what it needs, and a timer of the rule's size would still be seen in the median
+  // of the runs that the bench makes.
+  EXPECT_LT(took, milliseconds(500));
+  RecordProperty("microseconds",
+                 static_cast<int>(std::chrono::duration_cast<std::chrono::microseconds>(took).count()));
+  EXPECT_TRUE(Until([&] { return Holds(*reader); }));
+}
+
+TEST_F(ServiceTest, AReadSeesAWriteAtTheSourceBeforeIt) {
+  StartEtcd();
+  const auto region = MakeRelay({etcd->address(0)});
+  const auto zone = MakeRelay({region->address()});
+  ASSERT_TRUE(Until([&] { return Follows(*zone); }));
+  for (int i = 0; i < 20; ++i) {
+    Put("new" + std::to_string(i));
+    std::string text;
+    ASSERT_TRUE(Call(zone->address(), kRangePath, ListRequest().SerializeAsString(), &text).ok());
+    pb::RangeResponse response;
+    ASSERT_TRUE(response.ParseFromString(text));
+    EXPECT_EQ(response.kvs_size(), 5 + i);
+    EXPECT_GE(response.header().revision(), etcd->store().revision());
+  }
+}
+
+TEST_F(ServiceTest, AReadSeesAWriteOutsideThePrefixByItsRevision) {
+  StartEtcd();
+  const auto region = MakeRelay({etcd->address(0)});
+  const auto zone = MakeRelay({region->address()});
+  ASSERT_TRUE(Until([&] { return Follows(*zone); }));
+  etcd->Put("/elsewhere", "x");  // the watches of the prefix are told nothing of it
+  std::string text;
+  const auto status = Call(zone->address(), kRangePath, ListRequest().SerializeAsString(), &text);
+  ASSERT_TRUE(status.ok()) << status.Text();
+  pb::RangeResponse response;
+  ASSERT_TRUE(response.ParseFromString(text));
+  EXPECT_EQ(response.header().revision(), etcd->store().revision());
+}
+
+TEST_F(ServiceTest, WritesAndKeysElsewhereAreRefusedInWords) {
+  StartEtcd();
+  const auto relay = MakeRelay({etcd->address(0)});
+  ASSERT_TRUE(Until([&] { return Follows(*relay); }));
+  ASSERT_TRUE(Until([&] { return etcd->watches() == 1; }));
+  const std::size_t before = etcd->calls();
+  for (const char* path : {"/etcdserverpb.KV/Put", "/etcdserverpb.KV/DeleteRange", "/etcdserverpb.KV/Txn",
+                           "/etcdserverpb.KV/Compact", "/etcdserverpb.Lease/LeaseGrant",
+                           "/etcdserverpb.Lease/LeaseKeepAlive", "/etcdserverpb.Auth/UserAdd"}) {
+    const auto status = Call(relay->address(), path, std::string(100000, 'x'));
+    EXPECT_EQ(status.code, Code::kPermissionDenied) << path << ": " << status.Text();
+    EXPECT_EQ(status.message, "badgerrelay serves reads of " + kPrefix + " only; write to etcd") << path;
+  }
+  EXPECT_EQ(Call(relay->address(), "/some.Other/Method", "").code, Code::kUnimplemented);
+  EXPECT_EQ(Call(relay->address(), "/etcdserverpb.Auth/Authenticate", "").code, Code::kFailedPrecondition);
+  pb::RangeRequest elsewhere;
+  elsewhere.set_key("/elsewhere/a");
+  const auto status = Call(relay->address(), kRangePath, elsewhere.SerializeAsString());
+  EXPECT_EQ(status.code, Code::kPermissionDenied) << status.Text();
+  EXPECT_EQ(Call(relay->address(), kRangePath, "\xff\xff").code, Code::kInternal);
+  EXPECT_EQ(etcd->calls(), before);  // nothing of it went up
+}
+
+TEST_F(ServiceTest, StatusTellsTheRevision) {
+  StartEtcd();
+  const auto relay = MakeRelay({etcd->address(0)});
+  ASSERT_TRUE(Until([&] { return Follows(*relay); }));
+  std::string text;
+  ASSERT_TRUE(Call(relay->address(), "/etcdserverpb.Maintenance/Status", "", &text).ok());
+  pb::StatusResponse response;
+  ASSERT_TRUE(response.ParseFromString(text));
+  EXPECT_EQ(response.header().revision(), etcd->store().revision());
+  EXPECT_EQ(response.header().cluster_id(), 0x1234u);
+  const boost::json::object about = relay->Describe();
+  EXPECT_EQ(about.at("revision").as_int64(), etcd->store().revision());
+  EXPECT_TRUE(about.at("upstream").at("connected").as_bool());
+  EXPECT_GE(about.at("upstream").at("heard_ms_ago").as_int64(), 0);
+}
+
+TEST_F(ServiceTest, SeveralWatchesOfOneStream) {
+  StartEtcd();
+  const auto relay = MakeRelay({etcd->address(0)});
+  ASSERT_TRUE(Until([&] { return Follows(*relay); }));
+  WatchStream stream;
+  const std::int64_t from = etcd->store().revision() + 1;
+  stream.Open(OpenChannel(relay->address()), CreateRequest(from));
+  stream.channel->Send(stream.call, CreateRequest(from, 7, kPrefix + "m1", ""), false);
+  stream.channel->Send(stream.call, CreateRequest(from, 7), false);  // the id is taken
+  stream.channel->Send(stream.call, CreateRequest(from, 9, "/elsewhere/", ""), false);
+  ASSERT_TRUE(Until([&] { return stream.responses.size() >= 4; }));
+  int created = 0, refused = 0;
+  for (const auto& response : stream.responses) {
+    created += response.created() && !response.canceled();
+    refused += response.canceled();
+  }
+  EXPECT_EQ(created, 2);
+  EXPECT_EQ(refused, 2);
+  Put("m1");
+  Put("m2");
+  ASSERT_TRUE(Until([&] { return stream.EventsOf(0) == 2 && stream.EventsOf(7) == 1; }));
+
+  pb::WatchRequest cancel;
+  cancel.mutable_cancel_request()->set_watch_id(7);
+  stream.channel->Send(stream.call, cancel.SerializeAsString(), false);
+  ASSERT_TRUE(Until([&] { return stream.responses.back().canceled(); }));
+  EXPECT_EQ(stream.responses.back().watch_id(), 7);
+  EXPECT_EQ(relay->status().subscribers, 1u);
+  Put("m1");
+  ASSERT_TRUE(Until([&] { return stream.EventsOf(0) == 3; }));
+  EXPECT_EQ(stream.EventsOf(7), 1u);
+
+  const std::size_t before = stream.responses.size();
+  pb::WatchRequest progress;
+  progress.mutable_progress_request();
+  stream.channel->Send(stream.call, progress.SerializeAsString(), false);
+  ASSERT_TRUE(Until([&] { return stream.responses.size() > before; }));
+  EXPECT_EQ(stream.responses.back().events_size(), 0);
+  EXPECT_EQ(stream.responses.back().header().revision(), etcd->store().revision());
+  EXPECT_FALSE(stream.ended);
+  stream.channel->Close("gone");
+  ASSERT_TRUE(Until([&] { return relay->status().subscribers == 0 && relay->connections() == 0; }));
+}
+
+TEST_F(ServiceTest, ManyReadersCostTheSourceOneWatchAndNoLists) {
+  StartEtcd({}, 50);
+  const auto relay = MakeRelay({etcd->address(0)});
+  ASSERT_TRUE(Until([&] { return Follows(*relay); }));
+  const std::size_t reads_before = etcd->calls(kRangePath);
+  constexpr int kReaders = 60;
+  std::vector<std::unique_ptr<Reader>> readers;
+  for (int i = 0; i < kReaders; ++i) readers.push_back(MakeReader({relay->address()}, 10));
+  ASSERT_TRUE(Until([&] {
+    return std::all_of(readers.begin(), readers.end(), [&](const auto& one) { return Holds(*one); });
+  }));
+  EXPECT_EQ(etcd->watches(), 1u);
+  EXPECT_GE(relay->status().lists, static_cast<std::uint64_t>(kReaders));
+  const std::size_t reads = etcd->calls(kRangePath) - reads_before;
+  // Reads of one key that confirm a revision, each for all readers that waited. How many depends on how the
+  // readers' starts fall in time: at the worst, one for the first page of each.
+  EXPECT_EQ(reads, relay->status().confirmations);
+  EXPECT_LT(reads, static_cast<std::size_t>(kReaders)) << "one a reader, or more";
+  RecordProperty("confirmations", static_cast<int>(reads));
+  std::cout << "confirmations for " << kReaders << " readers: " << reads << std::endl;
+  Put("m1", "Terminating");
+  ASSERT_TRUE(Until([&] {
+    return std::all_of(readers.begin(), readers.end(),
+                       [&](const auto& one) { return one->drains[kPrefix + "m1"] == 1; });
+  }));
+}
+
+TEST_F(ServiceTest, ARelayCutAfterAnyNumberOfBytesLosesItsReaderNothing) {
+  StartEtcd({}, 6);
+  std::optional<std::size_t> cut;
+  int cuts = 0;
+  ServiceSettings settings = RelaySettings({etcd->address(0)});
+  settings.message_bytes = 300;  // so that two events do not fit: events come in fragments
+  settings.server.written = [&](const etcd::ServerConnection&, std::string* bytes) {
+    if (!cut) return true;
+    if (bytes->size() < *cut) {
+      *cut -= bytes->size();
+      return true;
+    }
+    bytes->resize(*cut);
+    cut.reset();
+    ++cuts;
+    return false;
+  };
+  const auto relay = MakeRelayWith(settings);
+  const auto reader = MakeReader({relay->address()}, 2);
+  ASSERT_TRUE(Until([&] { return Holds(*reader); }));
+  // In events: four keys in one transaction, so one revision in fragments.
+  int expected_cuts = 0;
+  for (std::size_t n = 0; n < 1200; n += 37) {
+    std::vector<std::pair<std::string, std::string>> pairs;
+    for (int k = 0; k < 4; ++k) {
+      const std::string name = "m" + std::to_string(k);
+      pairs.emplace_back(kPrefix + name, MemberValue(name, n % 2 == 0 ? "Terminating" : "Ready"));
+    }
+    cut = n;
+    etcd->store().PutAll(pairs);
+    etcd->Publish();
+    ASSERT_TRUE(Until([&] { return cuts > expected_cuts && Holds(*reader); }))
+        << n << " " << reader->last_error;
+    expected_cuts = cuts;
+    EXPECT_EQ(reader->revision, etcd->store().revision()) << n;
+  }
+  EXPECT_GE(cuts, 30);
+  EXPECT_EQ(reader->went_back, 0);
+  // In a list: each reader starts anew, and its connection ends after n bytes of it.
+  for (std::size_t n = 1; n < 1600; n += 61) {
+    cut = n;
+    const auto fresh = MakeReader({relay->address()}, 2);
+    ASSERT_TRUE(Until([&] { return Holds(*fresh) && !cut; })) << n << " " << fresh->last_error;
+    EXPECT_EQ(fresh->went_back, 0);
+  }
+}
+
+TEST_F(ServiceTest, UpstreamCutAndBackResumesAndReadersKeepWhatTheyHave) {
+  StartEtcd();
+  const auto relay = MakeRelay({etcd->address(0)});
+  const auto reader = MakeReader({relay->address()});
+  ASSERT_TRUE(Until([&] { return Holds(*reader); }));
+  const auto held = reader->keys;
+  etcd->Down(0);
+  ASSERT_TRUE(Until([&] { return !relay->status().connected; }));
+  Put("m8");
+  Delete("m0");
+  RunFor(milliseconds(300));
+  EXPECT_EQ(reader->keys, held);
+  EXPECT_FALSE(relay->Describe().at("upstream").at("connected").as_bool());
+  // A read that can't be confirmed fails in words; one that may be behind is answered.
+  pb::RangeRequest list = ListRequest();
+  EXPECT_EQ(Call(relay->address(), kRangePath, list.SerializeAsString()).code, Code::kUnavailable);
+  list.set_serializable(true);
+  EXPECT_TRUE(Call(relay->address(), kRangePath, list.SerializeAsString()).ok());
+  etcd->Up(0);
+  ASSERT_TRUE(Until([&] { return Holds(*reader); })) << reader->last_error;
+  EXPECT_EQ(relay->status().snapshots, 1u);  // the difference alone came
+  EXPECT_EQ(reader->went_back, 0);
+}
+
+TEST_F(ServiceTest, CompactionWhileTheUpstreamIsCutEndsInTheNewState) {
+  StartEtcd();
+  const auto relay = MakeRelay({etcd->address(0)});
+  const auto reader = MakeReader({relay->address()});
+  ASSERT_TRUE(Until([&] { return Holds(*reader); }));
+  etcd->Down(0);
+  ASSERT_TRUE(Until([&] { return !relay->status().connected; }));
+  Put("m8");
+  Delete("m0");
+  Put("m2", "Terminating");
+  etcd->Compact(etcd->store().revision());
+  etcd->Up(0);
+  ASSERT_TRUE(Until([&] { return Holds(*reader); })) << reader->last_error;
+  EXPECT_EQ(relay->status().snapshots, 2u);
+  EXPECT_EQ(reader->drains[kPrefix + "m2"], 1);
+  EXPECT_EQ(reader->went_back, 0);
+}
+
+TEST_F(ServiceTest, AWatchFromBeforeTheWindowIsToldOfTheCompaction) {
+  StartEtcd();
+  ServiceSettings settings = RelaySettings({etcd->address(0)});
+  settings.relay.window_events = 3;
+  const auto relay = MakeRelayWith(settings);
+  ASSERT_TRUE(Until([&] { return Follows(*relay); }));
+  const std::int64_t old = etcd->store().revision() + 1;
+  for (int i = 0; i < 8; ++i) Put("m" + std::to_string(i));
+  ASSERT_TRUE(Until([&] { return Follows(*relay); }));
+  WatchStream stream;
+  stream.Open(OpenChannel(relay->address()), CreateRequest(old));
+  ASSERT_TRUE(Until([&] { return !stream.responses.empty() && stream.responses.back().canceled(); }));
+  EXPECT_GT(stream.responses.back().compact_revision(), old);
+  EXPECT_FALSE(stream.ended);  // the stream is there for other watches
+}
+
+TEST_F(ServiceTest, AParentSwitchedAtTheMomentOfADelete) {
+  StartEtcd();
+  const auto first = MakeRelay({etcd->address(0)});
+  const auto second = MakeRelay({etcd->address(0)});
+  // The reader's relay of the moment dies as the delete reaches it, before it has passed a byte of it on.
+  for (int round = 0; round < 6; ++round) {
+    std::unique_ptr<Service> dying = MakeRelay({etcd->address(0)});
+    ASSERT_TRUE(Until([&] { return Follows(*dying) && Follows(*first) && Follows(*second); }));
+    const std::string name = "gone" + std::to_string(round);
+    Put(name);
+    const auto reader = MakeReader({dying->address(), first->address(), second->address()});
+    ASSERT_TRUE(Until([&] { return Holds(*reader); }));
+    Delete(name);
+    const std::int64_t deleted = etcd->store().revision();
+    ASSERT_TRUE(Until([&] { return dying->status().revision >= deleted; }));
+    dying.reset();
+    ASSERT_TRUE(Until([&] { return Holds(*reader) && reader->revision >= deleted; })) << reader->last_error;
+    EXPECT_FALSE(reader->keys.count(kPrefix + name));
+    EXPECT_EQ(reader->went_back, 0);
+  }
+}
+
+TEST_F(ServiceTest, AParentThatIsBehindTakesNoReaderBack) {
+  EtcdSettings two;
+  two.members = 2;
+  StartEtcd(two);
+  const auto ahead = MakeRelay({etcd->address(0)});
+  const auto behind = MakeRelay({etcd->address(1)});
+  ASSERT_TRUE(Until([&] { return Follows(*ahead) && Follows(*behind); }));
+  etcd->Lag(1, true);
+  Put("m5");
+  Delete("m0");
+  ASSERT_TRUE(Until([&] { return Follows(*ahead); }));
+  const auto reader = MakeReader({ahead->address()});
+  ASSERT_TRUE(Until([&] { return Holds(*reader); }));
+  const auto child = MakeRelay({ahead->address(), behind->address()});
+  const auto below = MakeReader({child->address()});
+  ASSERT_TRUE(Until([&] { return Holds(*below); })) << below->last_error;
+  EXPECT_LT(behind->status().revision, ahead->status().revision);
+  EXPECT_EQ(below->went_back, 0);
+  etcd->Lag(1, false);
+  ASSERT_TRUE(Until([&] { return Follows(*behind); }));
+}
+
+TEST_F(ServiceTest, AGarbledParentHarmsNoReader) {
+  EtcdSettings two;
+  two.members = 2;
+  StartEtcd(two);
+  const auto relay = MakeRelay({etcd->address(0), etcd->address(1)});
+  const auto reader = MakeReader({relay->address()});
+  ASSERT_TRUE(Until([&] { return Holds(*reader); }));
+  int number = 0;
+  for (const EtcdFault fault :
+       {EtcdFault::kTrailersOnly, EtcdFault::kNoStatus, EtcdFault::kStatusAlone, EtcdFault::kReset,
+        EtcdFault::kRefused, EtcdFault::kHttp503, EtcdFault::kHugeMessage, EtcdFault::kEndlessHeader,
+        EtcdFault::kGarbage, EtcdFault::kGoaway, EtcdFault::kTwoMessages, EtcdFault::kNever}) {
+    etcd->Next(fault);  // met by the next call: a confirmation, or a step towards the watch
+    for (std::size_t member : {0u, 1u}) {
+      etcd->Down(member);
+      etcd->Up(member);
+    }
+    Put("m" + std::to_string(number % 4), number % 2 ? "Ready" : "Terminating");
+    ++number;
+    ASSERT_TRUE(Until([&] { return Follows(*relay) && Holds(*reader); }))
+        << static_cast<int>(fault) << " " << relay->status().last_upstream_error;
+  }
+  EXPECT_EQ(reader->went_back, 0);
+  EXPECT_EQ(reader->disconnects, 0);  // nothing of it went further than the relay
+}
+
+TEST_F(ServiceTest, ASubscriberThatNeverReadsCostsOthersNothing) {
+  StartEtcd();
+  ServiceSettings settings = RelaySettings({etcd->address(0)});
+  settings.relay.backlog_bytes = 64 << 10;
+  settings.connection_unsent = 32 << 10;
+  const auto relay = MakeRelayWith(settings);
+  ASSERT_TRUE(Until([&] { return Follows(*relay); }));
+  // A connection that asks for a watch and then reads nothing more.
+  tcp::socket mute(io);
+  mute.connect(relay->address());
+  mute.set_option(tcp::socket::receive_buffer_size(4096));
+  etcd::Http2Client client("mute");
+  client.Begin(kWatchPath, {}, CreateRequest(etcd->store().revision() + 1), false, {});
+  const std::string opening = client.TakeOutput();
+  boost::asio::write(mute, boost::asio::buffer(opening));
+  ASSERT_TRUE(Until([&] { return relay->status().subscribers == 1; }));
+  const auto reader = MakeReader({relay->address()});
+  ASSERT_TRUE(Until([&] { return Holds(*reader); }));
+  const std::string large(16 << 10, 'x');
+  for (int i = 0; i < 800; ++i) {
+    etcd->Put(kPrefix + "large" + std::to_string(i % 3), large + std::to_string(i));
+    if (i % 50 != 0) continue;
+    ASSERT_TRUE(Until([&] { return Holds(*reader); })) << i << reader->last_error;
+  }
+  ASSERT_TRUE(Until([&] { return Holds(*reader) && relay->status().slow_subscribers == 1; }));
+  EXPECT_LE(relay->status().merged_events, 3u);
+  EXPECT_EQ(reader->disconnects, 0);
+}
+
+TEST_F(ServiceTest, AConnectionWithUnreadAnswersIsEndedInTime) {
+  StartEtcd({}, 4);
+  const std::string large(64 << 10, 'x');
+  for (int i = 0; i < 40; ++i) etcd->Put(kPrefix + "large" + std::to_string(i), large);
+  ServiceSettings settings = RelaySettings({etcd->address(0)});
+  settings.server.stall_timeout = milliseconds(300);
+  const auto relay = MakeRelayWith(settings);
+  ASSERT_TRUE(Until([&] { return Follows(*relay); }));
+  tcp::socket mute(io);
+  mute.connect(relay->address());
+  etcd::Http2Client client("mute");
+  client.Begin(kRangePath, {}, ListRequest().SerializeAsString(), true, {});
+  const std::string opening = client.TakeOutput();
+  boost::asio::write(mute, boost::asio::buffer(opening));
+  ASSERT_TRUE(Until([&] { return relay->status().lists == 1 && relay->connections() == 1; }));
+  ASSERT_TRUE(Until([&] { return relay->connections() == 0; }));
+}
+
+TEST_F(ServiceTest, ASilentClientIsAskedAndThenEnded) {
+  StartEtcd();
+  ServiceSettings settings = RelaySettings({etcd->address(0)});
+  settings.server.ping_every = settings.server.ping_timeout = milliseconds(100);
+  const auto relay = MakeRelayWith(settings);
+  tcp::socket mute(io);
+  mute.connect(relay->address());
+  ASSERT_TRUE(Until([&] { return relay->connections() == 1; }));
+  ASSERT_TRUE(Until([&] { return relay->connections() == 0; }));
+}
+
+TEST_F(ServiceTest, ARestoredSourceLeadsReadersToItsState) {
+  StartEtcd();
+  const auto region = MakeRelay({etcd->address(0)});
+  const auto zone = MakeRelay({region->address()});
+  const auto reader = MakeReader({zone->address()});
+  ASSERT_TRUE(Until([&] { return Holds(*reader); }));
+  const standins::EtcdStore backup = etcd->store();
+  for (int i = 0; i < 5; ++i) Put("later" + std::to_string(i));
+  ASSERT_TRUE(Until([&] { return Holds(*reader); }));
+  etcd->Restore(backup, 0x9999);
+  Put("other");
+  ASSERT_TRUE(Until([&] { return Holds(*reader) && reader->cluster_id == 0x9999; })) << reader->last_error;
+  EXPECT_FALSE(reader->keys.count(kPrefix + "later1"));
+  EXPECT_TRUE(reader->keys.count(kPrefix + "other"));
+}
+
+TEST_F(ServiceTest, AShutdownSendsReadersElsewhereOverItsPeriod) {
+  StartEtcd();
+  ServiceSettings settings = RelaySettings({etcd->address(0)});
+  settings.relay.drain_period = Time(400);
+  auto leaving = MakeRelayWith(settings);
+  const auto staying = MakeRelay({etcd->address(0)});
+  ASSERT_TRUE(Until([&] { return Follows(*leaving) && Follows(*staying); }));
+  std::vector<std::unique_ptr<Reader>> readers;
+  for (int i = 0; i < 8; ++i) {
+    readers.push_back(MakeReader({leaving->address()}));
+  }
+  WatchStream stream;
+  stream.Open(OpenChannel(leaving->address()), CreateRequest(etcd->store().revision() + 1));
+  ASSERT_TRUE(Until([&] { return leaving->status().subscribers == 9; }));
+  bool drained = false;
+  const auto began = std::chrono::steady_clock::now();
+  leaving->Drain([&] { drained = true; });
+  EXPECT_FALSE(drained);
+  EXPECT_GT(leaving->status().subscribers, 0u);  // not dropped at once
+  Put("m1", "Terminating");                      // still delivered to those who are there
+  ASSERT_TRUE(Until([&] { return stream.EventsOf(0) == 1 || stream.ended; }));
+  ASSERT_TRUE(Until([&] { return drained; }));
+  EXPECT_LT(std::chrono::steady_clock::now() - began, std::chrono::seconds(20));
+  EXPECT_EQ(leaving->status().subscribers, 0u);
+  ASSERT_TRUE(Until([&] { return stream.ended.has_value(); }));
+  EXPECT_EQ(stream.ended->code, Code::kUnavailable) << stream.ended->Text();
+  EXPECT_TRUE(stream.ended->Retriable());
+  for (const auto& reader : readers) EXPECT_TRUE(Until([&] { return reader->disconnects > 0; }));
+}
+
+}  // namespace
+}  // namespace badgerbridge::relay
--- a/tests/standins/etcd.cpp
+++ b/tests/standins/etcd.cpp
@@ -136,6 +136,11 @@
   options.ping_every = options.idle_timeout = options.stall_timeout = milliseconds(0);
   options.limits.unsent = kUnsent;
   options.silent = [&member] { return member.silent; };
+  options.written = [&member](const etcd::ServerConnection& link, std::string* bytes) {
+    const auto found = std::find_if(member.connections.begin(), member.connections.end(),
+                                    [&](const auto& connection) { return connection->link.get() == &link; });
+    return found == member.connections.end() || (*found)->Written(bytes);
+  };
   member.server =
       std::make_unique<etcd::Server>(io_, member.address, std::move(options),
                                      [this, &member](const std::shared_ptr<etcd::ServerConnection>& link) {
@@ -148,10 +153,6 @@
                                          const std::shared_ptr<etcd::ServerConnection>& link) {
   const auto connection = std::make_shared<Connection>(*this, member, link);
   member.connections.insert(connection);
-  link->on_written = [weak = std::weak_ptr<Connection>(connection)](std::string* bytes) {
-    const auto self = weak.lock();
-    return !self || self->Written(bytes);
-  };
   link->on_disconnected = [&member, weak = std::weak_ptr<Connection>(connection)](const std::string&) {
     if (const auto self = weak.lock()) member.connections.erase(self);
   };
@@ -245,6 +246,7 @@
     return connection.Finish(stream, {Code::kInternal, Ending::kStatus, "no gRPC call"});
   }
   ++calls_;
+  ++calls_by_path_[path];
   switch (std::exchange(fault_, EtcdFault::kNone)) {
     case EtcdFault::kNone:
       break;
--- a/tests/standins/etcd.h
+++ b/tests/standins/etcd.h
@@ -79,6 +79,11 @@
   std::size_t watches() const;
   std::size_t connections(std::size_t member) const;
   std::size_t calls() const { return calls_; }
+  // Of one method, "/package.Service/Method"; each message of a call that streams counts.
+  std::size_t calls(const std::string& path) const {
+    const auto found = calls_by_path_.find(path);
+    return found == calls_by_path_.end() ? 0 : found->second;
+  }
   std::size_t protocol_errors() const { return protocol_errors_; }  // what a strict server does not take
 
  private:
@@ -101,6 +106,7 @@
   EtcdFault fault_ = EtcdFault::kNone;
   std::function<void()> before_txn_;
   std::map<std::string, std::chrono::steady_clock::time_point> tokens_;
+  std::map<std::string, std::size_t> calls_by_path_;
   std::size_t calls_ = 0, protocol_errors_ = 0, next_token_ = 0;
   boost::asio::steady_timer timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
