--- a/src/relay/subscribers.cpp
+++ b/src/relay/subscribers.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "relay/actions.h"
+
 namespace badgerbridge::relay {
 
 namespace pb = etcdserverpb;
@@ -55,7 +57,7 @@
   if (subscriber->awake) return;
   subscriber->awake = true;
   if (!subscriber->backlog) catching_up_.insert(id);
-  actions->push_back(Relay::WakeSubscriber{id});
+  Append<Relay::WakeSubscriber>(actions, id);
 }
 
 void Subscribers::Notify(SubscriberId id, Subscriber* subscriber, Time at) {
@@ -322,7 +324,7 @@
 void Subscribers::End(std::size_t count, const etcd::Status& status, Actions* actions) {
   for (; count > 0 && !subscribers_.empty(); --count) {
     const SubscriberId id = subscribers_.begin()->first;
-    actions->push_back(Relay::EndSubscriber{id, status});
+    Append<Relay::EndSubscriber>(actions, id, status);
     Remove(id);
   }
 }
