--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -108,9 +108,8 @@
                                                  State::Keys* keys) const {
   for (pb::KeyValue& kv : kvs) {
     if (auto problem = CheckKeyValue(kv, revision)) return "a list: " + *problem;
-    std::string key = kv.key();
-    auto value = std::make_shared<const pb::KeyValue>(std::move(kv));
-    if (!keys->emplace(key, std::move(value)).second) return "a list: the key " + key + " is there twice";
+    const auto value = std::make_shared<const pb::KeyValue>(std::move(kv));
+    if (!keys->insert(value).second) return "a list: the key " + value->key() + " is there twice";
   }
   return std::nullopt;
 }
@@ -136,10 +135,10 @@
 bool Relay::Impl::Continues(std::uint64_t cluster_id, std::int64_t revision, const State::Keys& keys) const {
   if (cluster_id != position.cluster_id || revision < position.revision) return false;
   if (revision == position.revision && keys.size() != state.keys().size()) return false;
-  return std::all_of(keys.begin(), keys.end(), [this](const auto& key) {
-    if (key.second->mod_revision() > position.revision) return true;
-    const KeyValuePtr held = state.Find(key.first);
-    return held && held->mod_revision() == key.second->mod_revision();
+  return std::all_of(keys.begin(), keys.end(), [this](const KeyValuePtr& kv) {
+    if (kv->mod_revision() > position.revision) return true;
+    const KeyValuePtr held = state.Find(kv->key());
+    return held && held->mod_revision() == kv->mod_revision();
   });
 }
 
@@ -182,14 +181,14 @@
 void Relay::Impl::ApplyDifference(std::int64_t revision, State::Keys keys, Actions* actions) {
   if (revision == position.revision) return;
   std::vector<std::pair<pb::Event::EventType, pb::KeyValue>> events;
-  for (const auto& [key, kv] : keys) {
-    const KeyValuePtr held = state.Find(key);
+  for (const KeyValuePtr& kv : keys) {
+    const KeyValuePtr held = state.Find(kv->key());
     if (!held || held->mod_revision() != kv->mod_revision()) events.emplace_back(pb::Event::PUT, *kv);
   }
-  for (const auto& [key, kv] : state.keys()) {
-    if (keys.count(key)) continue;
+  for (const KeyValuePtr& kv : state.keys()) {
+    if (keys.count(kv->key())) continue;
     pb::KeyValue gone;  // when it went is not known: by the snapshot's revision
-    gone.set_key(key);
+    gone.set_key(kv->key());
     gone.set_mod_revision(revision);
     events.emplace_back(pb::Event::DELETE, std::move(gone));
   }
--- a/src/relay/state.cpp
+++ b/src/relay/state.cpp
@@ -2,7 +2,9 @@
 #include "relay/state.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
+#include <vector>
 
 #include "relay/key_range.h"
 #include "relay/window.h"
@@ -30,17 +32,39 @@
   return overlay;
 }
 
-// Calls `each` for the keys of the range in their order.
+struct Bounds {
+  State::Keys::const_iterator begin, end;
+};
+
+Bounds Find(const State::Keys& keys, const KeyRange& range) {
+  const auto begin = keys.lower_bound(range.begin);
+  if (range.single_key()) return {begin, keys.upper_bound(range.begin)};
+  if (range.unbounded()) return {begin, keys.end()};
+  return {begin, range.end <= range.begin ? begin : keys.lower_bound(range.end)};
+}
+
+// Calls `each` for the keys of the range in their order, until it returns false.
 template <typename Each>
-void ForEach(const State::Keys& keys, const KeyRange& range, const Overlay& overlay, Each each) {
-  auto key = keys.lower_bound(range.begin);
-  const auto in_range = [&] { return key != keys.end() && range.Contains(key->first); };
+void ForEach(Bounds bounds, const Overlay& overlay, Each each) {
+  auto key = bounds.begin;
   for (const auto& [name, old] : overlay) {
-    for (; in_range() && key->first < name; ++key) each(*key->second);
-    if (in_range() && key->first == name) ++key;
-    if (old) each(*old);
+    for (; key != bounds.end && (*key)->key() < name; ++key) {
+      if (!each(**key)) return;
+    }
+    if (key != bounds.end && (*key)->key() == name) ++key;
+    if (old && !each(*old)) return;
+  }
+  for (; key != bounds.end; ++key) {
+    if (!each(**key)) return;
   }
-  for (; in_range(); ++key) each(*key->second);
+}
+
+// How many keys the range holds, without a look at each.
+std::int64_t Count(const State& state, Bounds bounds, const Overlay& overlay) {
+  auto count = static_cast<std::int64_t>(state.keys().rank(bounds.end)) -
+               static_cast<std::int64_t>(state.keys().rank(bounds.begin));
+  for (const auto& [name, old] : overlay) count += (old != nullptr) - (state.Find(name) != nullptr);
+  return count;
 }
 
 bool Within(std::int64_t value, std::int64_t min, std::int64_t max) {
@@ -67,11 +91,15 @@
   }
 }
 
-// As etcd does: a target without an order is ascending.
+// As the keys are kept. A target without an order is ascending, as in etcd.
+bool InKeyOrder(const pb::RangeRequest& request) {
+  return request.sort_target() == pb::RangeRequest::KEY && request.sort_order() != pb::RangeRequest::DESCEND;
+}
+
 void Sort(const pb::RangeRequest& request, std::vector<const pb::KeyValue*>* found) {
+  if (InKeyOrder(request)) return;
   const auto target = request.sort_target();
   const bool descending = request.sort_order() == pb::RangeRequest::DESCEND;
-  if (target == pb::RangeRequest::KEY && !descending) return;
   std::stable_sort(found->begin(), found->end(), [&](const auto* a, const auto* b) {
     return descending ? Less(target, *b, *a) : Less(target, *a, *b);
   });
@@ -81,28 +109,28 @@
 
 KeyValuePtr State::Find(std::string_view key) const {
   const auto found = keys_.find(key);
-  return found == keys_.end() ? nullptr : found->second;
+  return found == keys_.end() ? nullptr : *found;
 }
 
 void State::Apply(const StoredEvent& event) {
   const auto found = keys_.find(event.kv->key());
-  if (found != keys_.end()) bytes_ -= found->second->ByteSizeLong();
+  if (found != keys_.end()) bytes_ -= (*found)->ByteSizeLong();
   if (event.deletion) {
     if (found != keys_.end()) keys_.erase(found);
     return;
   }
   bytes_ += event.kv->ByteSizeLong();
   if (found != keys_.end()) {
-    found->second = event.kv;
+    keys_.replace(found, event.kv);
   } else {
-    keys_.emplace(event.kv->key(), event.kv);
+    keys_.insert(event.kv);
   }
 }
 
 void State::Replace(Keys keys) {
   keys_ = std::move(keys);
   bytes_ = 0;
-  for (const auto& [name, kv] : keys_) bytes_ += kv->ByteSizeLong();
+  for (const KeyValuePtr& kv : keys_) bytes_ += kv->ByteSizeLong();
 }
 
 Status CheckRange(const pb::RangeRequest& request) {
@@ -114,7 +142,7 @@
 }
 
 Status ReadRange(const State& state, const Window& window, std::int64_t revision,
-                 const pb::RangeRequest& request, pb::RangeResponse* response) {
+                 const pb::RangeRequest& request, pb::RangeResponse* response, std::size_t* visited) {
   const KeyRange range{request.key(), request.range_end()};
   Overlay overlay;
   if (request.revision() > 0 && request.revision() != revision) {
@@ -123,13 +151,18 @@
     overlay = RollBack(window, request.revision(), range);
   }
   // As etcd applies a range: the count is of all in it, before bounds on revisions and the limit.
-  std::int64_t count = 0;
+  const Bounds bounds = Find(state.keys(), range);
+  response->set_count(Count(state, bounds, overlay));
+  if (visited) *visited = 0;
+  if (request.count_only()) return {};
+  const bool limited = request.limit() > 0 && InKeyOrder(request);
+  const auto enough = static_cast<std::size_t>(request.limit()) + 1;  // one more tells that there is more
   std::vector<const pb::KeyValue*> found;
-  ForEach(state.keys(), range, overlay, [&](const pb::KeyValue& kv) {
-    ++count;
-    if (!request.count_only() && Selected(request, kv)) found.push_back(&kv);
+  ForEach(bounds, overlay, [&](const pb::KeyValue& kv) {
+    if (visited) ++*visited;
+    if (Selected(request, kv)) found.push_back(&kv);
+    return !limited || found.size() < enough;
   });
-  response->set_count(count);
   Sort(request, &found);
   for (const pb::KeyValue* kv : found) {
     if (request.limit() > 0 && response->kvs_size() >= request.limit()) {
--- a/src/relay/state.h
+++ b/src/relay/state.h
@@ -4,10 +4,12 @@
 #ifndef BADGERBRIDGE_RELAY_STATE_H_
 #define BADGERBRIDGE_RELAY_STATE_H_
 
+#include <boost/multi_index/ranked_index.hpp>
+#include <boost/multi_index_container.hpp>
 #include <cstdint>
-#include <map>
+#include <functional>
 #include <string>
-#include <vector>
+#include <string_view>
 
 #include "etcd.pb.h"
 #include "etcd/grpc.h"
@@ -21,9 +23,16 @@
 inline constexpr char kCompactedText[] = "etcdserver: mvcc: required revision has been compacted";
 inline constexpr char kFutureText[] = "etcdserver: mvcc: required revision is a future revision";
 
+struct KeyOf {
+  using result_type = std::string;
+  const std::string& operator()(const KeyValuePtr& kv) const { return kv->key(); }
+};
+
 class State {
  public:
-  using Keys = std::map<std::string, KeyValuePtr, std::less<>>;
+  // By key; the ranks count a range in logarithmic time.
+  using Keys = boost::multi_index_container<
+      KeyValuePtr, boost::multi_index::indexed_by<boost::multi_index::ranked_unique<KeyOf, std::less<>>>>;
 
   const Keys& keys() const { return keys_; }
   KeyValuePtr Find(std::string_view key) const;
@@ -44,7 +53,8 @@
 // The header is left to the caller. Cost: the keys in the range, and for an older revision the window's
 // events since.
 etcd::Status ReadRange(const State& state, const Window& window, std::int64_t revision,
-                       const etcdserverpb::RangeRequest& request, etcdserverpb::RangeResponse* response);
+                       const etcdserverpb::RangeRequest& request, etcdserverpb::RangeResponse* response,
+                       std::size_t* visited = nullptr);
 
 }  // namespace badgerbridge::relay
 
--- a/tests/relay/reads_test.cpp
+++ b/tests/relay/reads_test.cpp
@@ -2,6 +2,8 @@
 //
 // Reads of the relay's core: what is served, what is refused, and what a linearizable read waits for.
 #include "relay/harness.h"
+#include "relay/state.h"
+#include "relay/window.h"
 #include "standins/etcd_store.h"
 
 namespace badgerbridge::relay {
@@ -140,6 +142,39 @@
   EXPECT_EQ(relay_.ReadNow(odd).status.code, Code::kInvalidArgument);
 }
 
+// A list in pages looks at each key once, and once more for each page: not at all that remain, at every page.
+TEST(RelayRangeTest, APageCostsItsOwnKeys) {
+  constexpr int kKeys = 10'000, kPage = 100;
+  State::Keys keys;
+  for (int i = 0; i < kKeys; ++i)
+    keys.insert(std::make_shared<const pb::KeyValue>(Kv("/p/" + std::to_string(100'000 + i), "v", 5)));
+  State state;
+  state.Replace(std::move(keys));
+  const Window window(1 << 20, 1000);
+  pb::RangeRequest request = ListAll();
+  request.set_limit(kPage);
+  std::size_t visited = 0, listed = 0, pages = 0;
+  for (bool more = true; more; ++pages) {
+    pb::RangeResponse response;
+    std::size_t of_page = 0;
+    ASSERT_TRUE(ReadRange(state, window, 5, request, &response, &of_page).ok());
+    EXPECT_EQ(response.count(), static_cast<std::int64_t>(kKeys - listed)) << "of the whole range";
+    visited += of_page;
+    listed += static_cast<std::size_t>(response.kvs_size());
+    more = response.more();
+    request.set_key(response.kvs(response.kvs_size() - 1).key() + std::string(1, '\0'));
+  }
+  EXPECT_EQ(listed, static_cast<std::size_t>(kKeys));
+  EXPECT_EQ(pages, static_cast<std::size_t>(kKeys / kPage));
+  EXPECT_LE(visited, kKeys + pages);
+  request = ListAll();
+  request.set_count_only(true);
+  pb::RangeResponse response;
+  ASSERT_TRUE(ReadRange(state, window, 5, request, &response, &visited).ok());
+  EXPECT_EQ(response.count(), kKeys);
+  EXPECT_EQ(visited, 0u);
+}
+
 TEST_F(RelayReadsTest, ServesOlderRevisionsInsideTheWindowAndSaysCompactedBeforeIt) {
   Fill();
   relay_.Event(Put("/p/a", "new", 12));
