Play relays in two tiers between etcd and the proxies of a trial

Plans get relays = N and the faults relay_cut, relay_heal, relay_kill, relay_stop, relay_start, relay_freeze, relay_thaw; drains go to etcd alone and count as told to every proxy from the write on. Ruled out: telling drains by discovery too, which would hide a deaf relay.

--- a/src/lab/model.h
+++ b/src/lab/model.h
@@ -84,13 +84,19 @@
   // zone's converters: reset, half_close (once); swallow (a share of new connections), delay (ms), trickle
   // (bytes a second), until one with value 0. Of links of a zone's proxies to etcd: etcd_cut, etcd_heal. Of
   // whoever decides for all zones then: freeze_decider, kill_decider, and thaw_decider for the one that was
-  // frozen.
+  // frozen. Of the relay with number `value`, counted from 1: relay_cut (its links to its upstreams, `way` as
+  // of a cut) and relay_heal; relay_kill (SIGKILL), relay_stop (SIGTERM) and relay_start; relay_freeze and
+  // relay_thaw (SIGSTOP, SIGCONT).
   std::string what;
   int zone = -1;
   double share = 1, value = 0;
+  Happening::Way way = Happening::Way::kBoth;
 };
 struct TogetherModel {
   int etcd_members = 0;
+  // Watch caches between etcd and the proxies, in two tiers: the first `regions` of them follow etcd, one a
+  // region; the others follow those, and the proxies follow them. 0: proxies hear of converters by discovery.
+  int relays = 0;
   bool regions = false;            // the proxies decide in common how much goes to each zone
   double least_worth_percent = 0;  // of what was asked, or the trial does not hold
   std::vector<TogetherFault> faults;
--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -16,6 +16,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kDay{24 * 3600 * 1000};
+constexpr int kMaxRelays = 64;
 
 // One of these words, by its place in the list.
 template <std::size_t n>
@@ -66,17 +67,21 @@
   c->work = ReadShape(table, "work", {Shape::Kind::kLognormal, 20, 1, {}});
 }
 
+Happening::Way ReadWay(TableReader& table) {
+  constexpr std::array<std::string_view, 3> kWays = {"both", "in", "out"};
+  return static_cast<Happening::Way>(OneOf(table, "way", kWays, 0));
+}
+
 void ReadHappening(TableReader& table, const Model& model, Happening* h) {
   constexpr std::array<std::string_view, 17> kKinds = {
       "drain", "stop", "start",     "slow",    "wrong",    "pause",   "kill",        "revive",     "load",
       "cut",   "heal", "etcd_down", "etcd_up", "evacuate", "readmit", "stale_lists", "fresh_lists"};
-  constexpr std::array<std::string_view, 3> kWays = {"both", "in", "out"};
   table.Require("at", "when it happens");
   table.Require("what", "what happens");
   h->at = Ms(table.Duration("at", milliseconds(0), milliseconds(0), kDay));
   h->kind = static_cast<Happening::Kind>(OneOf(table, "what", kKinds, 0));
   h->zone = static_cast<int>(table.Whole("zone", -1, -1, model.zones - 1));
-  h->way = static_cast<Happening::Way>(OneOf(table, "way", kWays, 0));
+  h->way = ReadWay(table);
   h->share = static_cast<double>(table.Whole("share_percent", 100, 1, 100)) / 100;
   const bool pause = h->kind == Happening::Kind::kPause, wrong = h->kind == Happening::Kind::kWrong;
   if (pause) {
@@ -157,14 +162,21 @@
   if (const auto table = top.Table("together")) {
     model.together.etcd_members = static_cast<int>(table->Whole("etcd_members", 0, 0, 9));
     model.together.regions = table->Flag("regions", false);
+    model.together.relays = static_cast<int>(table->Whole("relays", 0, 0, kMaxRelays));
+    if (model.together.relays > 0 && model.together.etcd_members == 0)
+      table->Report("relays", "needs etcd_members: relays follow etcd");
+    if (model.together.relays > 0 && model.together.relays <= model.regions)
+      table->Report("relays",
+                    "must be more than regions: one a region follows etcd, the others follow those");
     if (model.together.regions && model.together.etcd_members == 0)
       table->Report("regions", "needs etcd_members: members decide through etcd");
     model.together.least_worth_percent = static_cast<double>(table->Whole("least_worth_percent", 0, 0, 100));
     for (const auto& fault : table->Tables("fault")) {
-      constexpr std::array<std::string_view, 15> kFaults = {
-          "freeze",       "thaw",         "reset",    "half_close",     "swallow",
-          "delay",        "trickle",      "etcd_cut", "etcd_heal",      "freeze_decider",
-          "kill_decider", "thaw_decider", "restart",  "discovery_down", "discovery_up"};
+      constexpr std::array<std::string_view, 22> kFaults = {
+          "freeze",     "thaw",           "reset",        "half_close",     "swallow",      "delay",
+          "trickle",    "etcd_cut",       "etcd_heal",    "freeze_decider", "kill_decider", "thaw_decider",
+          "restart",    "discovery_down", "discovery_up", "relay_cut",      "relay_heal",   "relay_kill",
+          "relay_stop", "relay_start",    "relay_freeze", "relay_thaw"};
       TogetherFault& one = model.together.faults.emplace_back();
       fault->Require("at", "when it happens");
       fault->Require("what", "what happens");
@@ -173,6 +185,9 @@
       one.zone = static_cast<int>(fault->Whole("zone", -1, -1, model.zones - 1));
       one.share = static_cast<double>(fault->Whole("share_percent", 100, 1, 100)) / 100;
       one.value = static_cast<double>(fault->Whole("value", 0, 0, 1000000000));
+      one.way = ReadWay(*fault);
+      if (one.what.rfind("relay_", 0) == 0 && (one.value < 1 || one.value > model.together.relays))
+        fault->Report("value", "is no relay's number");
       if (one.what == "swallow") one.value = std::min(1.0, one.value / 100);
       if (one.what.find("_decider") != std::string::npos && !model.together.regions)
         fault->Report("what", "is about whoever decides, and regions = true stands nowhere");
--- a/tests/together/main.cpp
+++ b/tests/together/main.cpp
@@ -24,7 +24,8 @@
   boost::asio::io_context io(1);
   together::Outcome outcome;
   try {
-    together::Trial trial(io, model, seed, self, std::filesystem::path(self).parent_path() / "badgerbridge");
+    const std::filesystem::path programs = std::filesystem::path(self).parent_path();
+    together::Trial trial(io, model, seed, self, programs / "badgerbridge", programs / "badgerrelay");
     outcome = trial.Run();
   } catch (const std::exception& bad) {
     std::cout << "trial: plan=\"" << model.name << "\" seed=" << seed << " did not run: " << bad.what()
--- a/tests/together/roles.cpp
+++ b/tests/together/roles.cpp
@@ -260,6 +260,7 @@
   std::unique_ptr<standins::Etcd> etcd;
   std::string prefix;
   int members = 0;
+  json::array told;
   orders.Follow([&](const json::object& order) {
     const std::string what = Text(order, "do");
     if (what == "begin") {
@@ -279,7 +280,13 @@
     } else if (what == "order") {
       const std::string key = prefix + "orders/" + std::to_string(static_cast<int>(Number(order, "zone")));
       Flag(order, "leave") ? etcd->Put(key, "the plan") : etcd->Delete(key);
+    } else if (what == "member") {
+      const std::string key = Text(order, "key"), value = Text(order, "value");
+      value.empty() ? etcd->Delete(key) : etcd->Put(key, value);
+      for (const json::value& proxy : order.at("proxies").as_array())
+        told.push_back(json::array{proxy, Text(order, "name"), Flag(order, "ready"), NowMs()});
     } else if (what == "end") {
+      Orders::Say({{"told", told}});
       if (etcd) {
         const WordsWritten words = CheckWords(etcd->store(), prefix);
         Orders::Say({{"decisions", words.words}, {"disorder", words.disorder}, {"unfenced", words.unfenced}});
--- a/tests/together/trial.cpp
+++ b/tests/together/trial.cpp
@@ -26,12 +26,14 @@
 
 }  // namespace
 
-Trial::Trial(asio::io_context& io, lab::Model model, std::uint64_t seed, std::string self, std::string proxy)
+Trial::Trial(asio::io_context& io, lab::Model model, std::uint64_t seed, std::string self, std::string proxy,
+             std::string relay)
     : io_(io),
       model_(std::move(model)),
       seed_(seed),
       self_(std::move(self)),
       program_(std::move(proxy)),
+      relay_program_(std::move(relay)),
       lags_(seed, 1),
       cut_in_(static_cast<std::size_t>(model_.zones)),
       cut_out_(static_cast<std::size_t>(model_.zones)),
@@ -48,6 +50,7 @@
 Trial::~Trial() {
   regions_.reset();
   proxies_.clear();
+  relays_.clear();
   zones_.clear();
   clients_.clear();
   wire_.reset();
@@ -161,6 +164,7 @@
     io_.run_for(std::chrono::milliseconds(2));
     ActOnWhatIsDue();
     LookAfterProxies(longest);
+    LookAfterRelays();
   }
   Note("the load ends");
   for (const auto& part : clients_) part->Tell({{"do", "stop"}});
@@ -173,6 +177,7 @@
   OpenLinks();
   SetLinks();
   for (Converter& c : converters_) List(c);
+  StartRelays();
   for (Proxy& proxy : proxies_) StartProxy(proxy);
   for (int z = 0; z < model_.zones; ++z) StartClients(z);
   AwaitProxies();
@@ -186,6 +191,7 @@
   }
   Gather();
   StopProxies();
+  StopRelays();
   return TakeOutcome();
 }
 
--- a/tests/together/trial.h
+++ b/tests/together/trial.h
@@ -61,9 +61,9 @@
 
 class Trial {
  public:
-  // `self` is the path of this program, `proxy` that of badgerbridge.
+  // `self` is the path of this program, `proxy` that of badgerbridge, `relay` that of badgerrelay.
   Trial(boost::asio::io_context& io, lab::Model model, std::uint64_t seed, std::string self,
-        std::string proxy);
+        std::string proxy, std::string relay);
   ~Trial();
 
   // Throws std::runtime_error if the installation does not come up.
@@ -86,6 +86,16 @@
     double term_at = -1;  // asked to end, and to be started again once it has
     int lives = 0;
   };
+  // A watch cache between etcd and the proxies.
+  struct Relay {
+    std::string name, listen;
+    int region = 0;
+    bool follows_etcd = false;             // else it follows those that do
+    std::vector<std::string> upstreams;    // as it reaches them
+    std::vector<std::string> by_zone;      // how the proxies of each zone reach it
+    std::unique_ptr<Child> process;        // null while it is down
+    bool cut_in = false, cut_out = false;  // its links to its upstreams
+  };
   struct Due {
     double at = 0;
     std::function<void()> act;
@@ -108,6 +118,8 @@
   // trial_files.cpp: what a proxy reads at its start.
   std::string Config(const Proxy& proxy) const;
   void WriteOperatorFile(const Proxy& proxy) const;
+  void WriteMembersTable(const Proxy& proxy, std::ostream& file) const;
+  void WriteRegionsTable(const Proxy& proxy, std::ostream& file) const;
 
   // trial_processes.cpp: processes and the links between them.
   std::unique_ptr<Child> Part(const std::string& role, const std::string& name);
@@ -118,6 +130,8 @@
   void StartEtcd();
   void StartParts();
   void OpenLinks();
+  std::string OpenLink(const std::string& from, const std::string& to, const std::string& target,
+                       const std::string& host);
   void StartProxy(Proxy& proxy);
   void StartAgain(Proxy& proxy);
   boost::asio::awaitable<void> UntilReady(std::size_t proxy, std::size_t restart);
@@ -126,6 +140,18 @@
   void StopProxies();
   std::string HowEnded(const Proxy& proxy) const;
 
+  // trial_relays.cpp: the relays, and what happens to them.
+  void PlaceRelays();
+  void OpenRelayLinks();
+  void StartRelay(Relay& relay);
+  void StartRelays();
+  void SetRelayLinks();
+  void SufferRelay(const lab::TogetherFault& what);
+  void LookAfterRelays();
+  void StopRelays();
+  void WriteMember(const Converter& converter);
+  bool relays_on() const { return model_.together.relays > 0; }
+
   // trial_faults.cpp: what happens to them.
   void List(Converter& converter);
   void SetLinks();
@@ -157,12 +183,13 @@
   boost::asio::io_context& io_;
   lab::Model model_;
   std::uint64_t seed_;
-  std::string self_, program_, folder_;
+  std::string self_, program_, relay_program_, folder_;
   lab::Random lags_;
   std::vector<std::unique_ptr<Child>> zones_, clients_;  // converters and clients, by zone
   std::unique_ptr<Child> wire_, discovery_, etcd_;
   std::vector<Converter> converters_;
   std::vector<Proxy> proxies_;
+  std::vector<Relay> relays_;
   std::map<std::string, std::function<void(const boost::json::object&)>>
       waiting_;  // by part: for its next answer
   std::vector<std::string> opened_;
--- a/tests/together/trial_faults.cpp
+++ b/tests/together/trial_faults.cpp
@@ -46,6 +46,9 @@
 
 // Tells every proxy, each after a time of its own.
 void Trial::List(Converter& converter) {
+  if (relays_on()) WriteMember(converter);
+  // Discovery then names who there was at the start, and tells no change.
+  if (relays_on() && began_ > 0) return;
   for (const Proxy& proxy : proxies_) {
     const json::object order{{"do", "set"},
                              {"proxy", proxy.name},
@@ -93,6 +96,7 @@
     wire_->Tell(
         {{"do", "link"}, {"from", ZoneName(from)}, {"to", "etcd"}, {"cut_there", cut}, {"cut_back", cut}});
   }
+  SetRelayLinks();
 }
 
 void Trial::Happen(const Happening& what) {
@@ -252,6 +256,7 @@
 void Trial::Suffer(const lab::TogetherFault& what) {
   Note(what.what + (what.zone >= 0 ? ", zone " + std::to_string(what.zone) : std::string()));
   if (SufferDecider(what.what)) return;
+  if (what.what.rfind("relay_", 0) == 0) return SufferRelay(what);
   if (what.what == "etcd_cut" || what.what == "etcd_heal") return CutEtcd(what);
   if (what.what == "freeze" || what.what == "thaw") return FreezeProxies(what);
   if (what.what == "discovery_down" || what.what == "discovery_up") {
--- a/tests/together/trial_files.cpp
+++ b/tests/together/trial_files.cpp
@@ -68,11 +68,28 @@
                                            {"drainGraceMs", model_.drain_grace.count()}}}}}});
 }
 
-// What this installation switches on: the regions, and the control API to look on.
+// What this installation switches on: the control API to look on, and the regions or the relays.
 void Trial::WriteOperatorFile(const Proxy& proxy) const {
   std::ofstream file(Path(proxy, ".toml"), std::ios::trunc);
-  file << "[control]\nsocket = \"" << Path(proxy, ".sock") << "\"\n[regions]\nprefix = \"" << kPrefix
-       << "\"\nendpoints = [";
+  file << "[control]\nsocket = \"" << Path(proxy, ".sock") << "\"\n";
+  if (relays_on()) WriteMembersTable(proxy, file);
+  if (model_.together.regions) WriteRegionsTable(proxy, file);
+}
+
+// The relays that follow relays, those of the proxy's own region first.
+void Trial::WriteMembersTable(const Proxy& proxy, std::ostream& file) const {
+  file << "[etcd]\nprefix = \"" << MembersPrefix(proxy.zone) << "\"\nendpoints = [";
+  for (const bool near : {true, false}) {
+    for (const Relay& relay : relays_) {
+      if (!relay.follows_etcd && (relay.region == model_.RegionOf(proxy.zone)) == near)
+        file << '"' << relay.by_zone[static_cast<std::size_t>(proxy.zone)] << "\", ";
+    }
+  }
+  file << "]\n";
+}
+
+void Trial::WriteRegionsTable(const Proxy& proxy, std::ostream& file) const {
+  file << "[regions]\nprefix = \"" << kPrefix << "\"\nendpoints = [";
   for (const std::string& address : etcd_relayed_[static_cast<std::size_t>(proxy.zone)])
     file << '"' << address << "\", ";
   file << "]\nzones = [";
--- a/tests/together/trial_processes.cpp
+++ b/tests/together/trial_processes.cpp
@@ -140,38 +140,40 @@
   StartConverters();
   wire_ = Part("wire", "wire");
   PlaceProxies();
+  PlaceRelays();
   StartDiscovery();
   if (model_.together.etcd_members > 0) StartEtcd();
   const std::size_t parts = zones_.size() + 2 + (etcd_ ? 1 : 0);
   Until([&] { return ready_parts_ == parts; }, "all parts say that they are ready");
 }
 
+// Where the wire listens for `from` on its way to `to`, which is at `target`.
+std::string Trial::OpenLink(const std::string& from, const std::string& to, const std::string& target,
+                            const std::string& host) {
+  const std::size_t number = opened_.size();
+  opened_.emplace_back();
+  wire_->Tell(
+      {{"do", "open"}, {"from", from}, {"to", to}, {"target", target}, {"host", host}, {"number", number}});
+  Until([&] { return !opened_[number].empty(); }, "the wire listens for " + from + " to " + to);
+  return opened_[number];
+}
+
 void Trial::OpenLinks() {
-  const auto open = [&](const std::string& from, const std::string& to, const std::string& target,
-                        const std::string& host, std::string* at) {
-    const std::size_t number = opened_.size();
-    opened_.emplace_back();
-    wire_->Tell(
-        {{"do", "open"}, {"from", from}, {"to", to}, {"target", target}, {"host", host}, {"number", number}});
-    Until([&] { return !opened_[number].empty(); }, "the relay listens for " + from + " to " + to);
-    *at = opened_[number];
-  };
   for (Converter& c : converters_) {
     for (int z = 0; z < model_.zones; ++z)
-      open(ZoneName(z), ZoneName(c.zone), c.address, Host(z, 3), &c.relayed[static_cast<std::size_t>(z)]);
+      c.relayed[static_cast<std::size_t>(z)] = OpenLink(ZoneName(z), ZoneName(c.zone), c.address, Host(z, 3));
   }
   for (Proxy& proxy : proxies_) {
-    open(ClientsName(proxy.zone), ZoneName(proxy.zone), proxy.listen, Host(proxy.zone, 4), &proxy.relayed);
-    std::string discovery;
-    open(ZoneName(proxy.zone), "discovery", proxy.discovery, Host(proxy.zone, 5), &discovery);
-    proxy.discovery = discovery;
+    proxy.relayed =
+        OpenLink(ClientsName(proxy.zone), ZoneName(proxy.zone), proxy.listen, Host(proxy.zone, 4));
+    proxy.discovery = OpenLink(ZoneName(proxy.zone), "discovery", proxy.discovery, Host(proxy.zone, 5));
   }
   etcd_relayed_.resize(static_cast<std::size_t>(model_.zones));
   for (int z = 0; z < model_.zones; ++z) {
     for (const std::string& member : etcd_addresses_)
-      open(ZoneName(z), "etcd", member, Host(z, 6),
-           &etcd_relayed_[static_cast<std::size_t>(z)].emplace_back());
+      etcd_relayed_[static_cast<std::size_t>(z)].push_back(OpenLink(ZoneName(z), "etcd", member, Host(z, 6)));
   }
+  OpenRelayLinks();
 }
 
 // For people: by what a process ended, and the last that it said.
@@ -191,7 +193,7 @@
   const std::string path = Path(proxy, ".json");
   std::ofstream(path, std::ios::trunc) << Config(proxy);
   std::vector<std::string> words{program_};
-  if (model_.together.regions) {
+  if (model_.together.regions || relays_on()) {
     WriteOperatorFile(proxy);
     words.insert(words.end(), {"--operator", Path(proxy, ".toml")});
   }
--- /dev/null
+++ b/tests/together/trial_relays.cpp
@@ -0,0 +1,169 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The relays of a trial: watch caches in two tiers between etcd and the proxies, and what happens to them.
+#include <algorithm>
+#include <boost/json.hpp>
+#include <csignal>
+
+#include "api/address.h"
+#include "together/roles.h"
+#include "together/trial.h"
+#include "together/trial_names.h"
+
+namespace badgerbridge::together {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+// The address of the first relay in its zone's block; proxies come before.
+constexpr int kFirstRelay = 200;
+
+}  // namespace
+
+// The first of each region follows etcd, the others follow those.
+void Trial::PlaceRelays() {
+  for (int i = 0; i < model_.together.relays; ++i) {
+    Relay relay;
+    relay.name = RelayName(static_cast<std::size_t>(i));
+    relay.region = i % model_.regions;
+    relay.follows_etcd = i < model_.regions;
+    // A port that was free a moment ago, on an address that nothing but this relay uses.
+    asio::ip::tcp::acceptor held(io_, {asio::ip::make_address_v4(Host(0, kFirstRelay + i)), 0});
+    relay.listen = api::ToText(held.local_endpoint());
+    relays_.push_back(std::move(relay));
+  }
+}
+
+void Trial::OpenRelayLinks() {
+  for (Relay& relay : relays_) {
+    for (int z = 0; z < model_.zones; ++z)
+      relay.by_zone.push_back(OpenLink(ZoneName(z), relay.name, relay.listen, Host(z, 7)));
+    if (relay.follows_etcd) {
+      for (const std::string& member : etcd_addresses_)
+        relay.upstreams.push_back(OpenLink(relay.name, "etcd", member, Host(0, 8)));
+      continue;
+    }
+    for (const Relay& parent : relays_) {
+      if (parent.follows_etcd)
+        relay.upstreams.push_back(OpenLink(relay.name, parent.name, parent.listen, Host(0, 8)));
+    }
+  }
+}
+
+void Trial::StartRelay(Relay& relay) {
+  ++processes_;
+  std::string upstreams;
+  for (const std::string& address : relay.upstreams) upstreams += (upstreams.empty() ? "" : ",") + address;
+  relay.process =
+      std::make_unique<Child>(io_, relay.name,
+                              std::vector<std::string>{relay_program_, "--listen", relay.listen, "--upstream",
+                                                       upstreams, "--prefix", kMembersPrefix},
+                              std::vector<std::string>{}, folder_ + "/" + relay.name + ".log");
+}
+
+void Trial::StartRelays() {
+  for (Relay& relay : relays_) StartRelay(relay);
+}
+
+void Trial::SetRelayLinks() {
+  for (const Relay& relay : relays_) {
+    const auto set = [&](const std::string& to) {
+      wire_->Tell({{"do", "link"},
+                   {"from", relay.name},
+                   {"to", to},
+                   {"cut_there", relay.cut_out},
+                   {"cut_back", relay.cut_in}});
+    };
+    if (relay.follows_etcd) {
+      set("etcd");
+      continue;
+    }
+    for (const Relay& parent : relays_) {
+      if (parent.follows_etcd) set(parent.name);
+    }
+  }
+}
+
+void Trial::SufferRelay(const lab::TogetherFault& what) {
+  using Way = lab::Happening::Way;
+  Relay& relay = relays_.at(static_cast<std::size_t>(what.value) - 1);
+  Note(what.what + ": " + relay.name);
+  if (what.what == "relay_cut") {
+    relay.cut_in = what.way != Way::kOut;
+    relay.cut_out = what.way != Way::kIn;
+    return SetRelayLinks();
+  }
+  if (what.what == "relay_heal") {
+    relay.cut_in = relay.cut_out = false;
+    return SetRelayLinks();
+  }
+  if (what.what == "relay_start") {
+    if (!relay.process) StartRelay(relay);
+    return;
+  }
+  if (!relay.process) return;
+  if (what.what == "relay_kill") {
+    relay.process->Signal(SIGCONT);
+    relay.process->Signal(SIGKILL);
+    relay.process.reset();
+  } else if (what.what == "relay_stop") {
+    relay.process->Signal(SIGTERM);
+  } else {
+    relay.process->Signal(what.what == "relay_freeze" ? SIGSTOP : SIGCONT);
+  }
+}
+
+// Those that ended: by SIGTERM, or though nobody asked them to.
+void Trial::LookAfterRelays() {
+  for (Relay& relay : relays_) {
+    if (!relay.process || relay.process->Running()) continue;
+    if (relay.process->status() != 0) outcome_.troubles.push_back(relay.name + " ended by itself");
+    Note(relay.name + " has ended");
+    relay.process.reset();
+  }
+}
+
+// Asked to stop, each relay ends by itself.
+void Trial::StopRelays() {
+  for (Relay& relay : relays_) {
+    if (!relay.process) continue;
+    relay.process->Signal(SIGCONT);
+    relay.process->Signal(SIGTERM);
+  }
+  Until(
+      [&] {
+        return std::none_of(relays_.begin(), relays_.end(),
+                            [](Relay& relay) { return relay.process && relay.process->Running(); });
+      },
+      "every relay ends when asked to");
+  LookAfterRelays();
+}
+
+// A converter's key in etcd, for the proxies of each zone; its departure is the key's deletion. From the
+// moment of the write it counts as told to every proxy: none is ever out of reach of all relays.
+void Trial::WriteMember(const Converter& converter) {
+  for (int z = 0; z < model_.zones; ++z) {
+    json::array proxies;
+    for (const Proxy& proxy : proxies_) {
+      if (proxy.zone == z) proxies.push_back(json::value(proxy.name));
+    }
+    const json::object value{{"name", converter.name},
+                             {"address", converter.relayed[static_cast<std::size_t>(z)]},
+                             {"zone", ZoneName(converter.zone)},
+                             {"type", "standard"},
+                             {"group", converter.group},
+                             {"status", converter.status},
+                             {"weight", 1.0},
+                             {"since_ms", converter.since_ms}};
+    etcd_->Tell({{"do", "member"},
+                 {"key", MembersPrefix(z) + converter.name},
+                 {"value", converter.status == "Gone" ? std::string() : json::serialize(value)},
+                 {"name", converter.name},
+                 {"ready", converter.status == "Ready"},
+                 {"proxies", std::move(proxies)}});
+  }
+}
+
+}  // namespace badgerbridge::together
--- a/tests/together/trial_test.sh
+++ b/tests/together/trial_test.sh
@@ -42,6 +42,30 @@
 code=0
 "$trial" run "$work/nobody.toml" >"$work/out" 2>&1 || code=$?
 expect "nobody decides" $code 2
+# Drains that no relay passes on are found: both that the proxies follow are stopped.
+sed -e 's/^length = .*/length = "4s"/' -e '/^\[\[happening\]\]/,$d' "$(dirname "$0")/plans/relays.toml" >"$work/deaf.toml"
+cat >>"$work/deaf.toml" <<'PLAN'
+[[happening]]
+at = "1s"
+what = "drain"
+share_percent = 50
+
+[together]
+etcd_members = 1
+relays = 4
+[[together.fault]]
+at = "500ms"
+what = "relay_freeze"
+value = 3
+[[together.fault]]
+at = "500ms"
+what = "relay_freeze"
+value = 4
+PLAN
+code=0
+"$trial" run "$work/deaf.toml" >"$work/out" 2>&1 || code=$?
+expect "a drain that no proxy hears" $code 1
+expect "its late sends" "$(tail -1 "$work/out" | grep -c 'lost=0 .* late_sends=[1-9].* BROKEN$')" 1
 # Killed in the middle: every process that it started ends.
 "$trial" run "$work/all.toml" >"$work/out" 2>&1 &
 pid=$!
