--- a/src/relay/reads.cpp
+++ b/src/relay/reads.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "relay/actions.h"
+
 namespace badgerbridge::relay {
 namespace {
 
@@ -63,7 +65,7 @@
   if (unconfirmed_.empty()) return;
   confirmation_ = Confirmation{next_confirmation_++, now, position, std::exchange(unconfirmed_, {})};
   ++confirmations_;
-  actions->push_back(Relay::ConfirmRevision{confirmation_->id});
+  Append<Relay::ConfirmRevision>(actions, confirmation_->id);
 }
 
 void Reads::Confirmed(Time now, std::uint64_t confirmation, const Status& status,
@@ -136,7 +138,7 @@
 
 void Reads::RequestProgress(Time now, Actions* actions) {
   progress_requested_ = now;
-  actions->push_back(Relay::RequestUpstreamProgress{});
+  Append<Relay::RequestUpstreamProgress>(actions);
 }
 
 void Reads::Fail(Order order, Code code, std::string why, Actions* actions) {
@@ -145,7 +147,7 @@
   const ReadId id = read->second.read;
   orders_.erase(id);
   reads_.erase(read);
-  actions->push_back(Relay::AnswerRead{id, {code, Ending::kStatus, std::move(why)}, {}});
+  Append<Relay::AnswerRead>(actions, id, Status{code, Ending::kStatus, std::move(why)}, pb::RangeResponse());
 }
 
 void Reads::Tick(Time now, const CachePosition& position, const std::string& upstream_error,
--- a/src/relay/subscribers.cpp
+++ b/src/relay/subscribers.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "relay/actions.h"
+
 namespace badgerbridge::relay {
 
 namespace pb = etcdserverpb;
@@ -55,7 +57,7 @@
   if (subscriber->awake) return;
   subscriber->awake = true;
   if (!subscriber->backlog) catching_up_.insert(id);
-  actions->push_back(Relay::WakeSubscriber{id});
+  Append<Relay::WakeSubscriber>(actions, id);
 }
 
 void Subscribers::Notify(SubscriberId id, Subscriber* subscriber, Time at) {
@@ -150,6 +152,7 @@
 void Subscribers::AddToBacklog(SubscriberId id, Subscriber* subscriber, const Batch& batch,
                                const CachePosition& position) {
   if (CannotCross(*subscriber, batch)) return TellToReread(id, subscriber, batch.to);
+  subscriber->crossed_difference |= batch.difference;
   subscriber->backlog->Add(batch.to, Wanted(*subscriber, batch));
   CountMerged(subscriber);
   if (subscriber->counted > settings_.merged_events) TellToReread(id, subscriber, position.revision);
@@ -204,6 +207,7 @@
       return false;
     }
     subscriber->batch = batch;
+    subscriber->crossed_difference |= batch->difference;
     subscriber->sending_revision = batch->to;
     if (NextToSend(subscriber, &previous) != nullptr) return true;
     FinishSending(subscriber);
@@ -228,6 +232,7 @@
 
 void Subscribers::GiveEvents(Subscriber* subscriber, std::size_t max_bytes, pb::WatchResponse* response) {
   std::size_t bytes = 0;
+  std::int64_t last_revision = 0;
   KeyValuePtr previous;
   while (const StoredEvent* stored = NextToSend(subscriber, &previous)) {
     if (!subscriber->prev_kv) previous.reset();
@@ -237,12 +242,17 @@
       return;
     }
     bytes += size;
+    last_revision = stored->revision();
     pb::Event* event = response->add_events();
     event->set_type(stored->deletion ? pb::Event::DELETE : pb::Event::PUT);
     *event->mutable_kv() = *stored->kv;
     if (previous) *event->mutable_prev_kv() = *previous;
     ++subscriber->sent;
   }
+  // A reader names the last event's revision, as etcd's headers don't bind it to more. After a difference its
+  // state is that of the difference's end: it learns so by progress.
+  if (std::exchange(subscriber->crossed_difference, false) && last_revision < subscriber->sending_revision)
+    subscriber->progress_due = true;
   FinishSending(subscriber);
 }
 
@@ -314,7 +324,7 @@
 void Subscribers::End(std::size_t count, const etcd::Status& status, Actions* actions) {
   for (; count > 0 && !subscribers_.empty(); --count) {
     const SubscriberId id = subscribers_.begin()->first;
-    actions->push_back(Relay::EndSubscriber{id, status});
+    Append<Relay::EndSubscriber>(actions, id, status);
     Remove(id);
   }
 }
