Tell watches to list after a gap instead of giving them a difference of lists

Cause: a relay that had to list again gave its current watches the difference as events. Keys that came and went in between are in neither list; a relay below can't tell such a batch from others, lets a reader resume in its midst, and the reader keeps a key whose deletion nobody gives it. Ruled out: refusing all resumes inside a batch (progress names other revisions at each relay, so a relay's end would make all its readers list); marking the batch (no field of the API for it).

Now etcd's own way after a compaction: the window is emptied, watches from before are canceled with the list's revision. The tests that wanted the difference are replaced: ANewListTellsWatchesToReadAgain, AnEqualListAtAHigherRevisionHidesWhatCameAndWent, AStartInTheFutureIsToldOnlyOnceItIsPassed, and the last step of each rejected upstream. The random test's allowance for readers early with a deletion is gone: what is held must be exact. The world of the random test no longer leaks what a stalled link held.

--- a/src/relay/event.h
+++ b/src/relay/event.h
@@ -29,9 +29,6 @@
 // may have merged the events of several revisions.
 struct Batch {
   std::int64_t from = 0, to = 0;
-  // A difference of two snapshots: it takes one who holds the state at `from` to that at `to`, and nobody who
-  // holds a state in between, since keys that came and went are not in it.
-  bool difference = false;
   std::vector<StoredEventPtr> events;  // their mod_revision in (from, to], ascending
   std::size_t bytes = 0;
 };
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -67,7 +67,7 @@
                                       State::Keys* keys) const;
   bool Continues(std::uint64_t cluster_id, std::int64_t revision, const State::Keys& keys) const;
   void ReplaceHistory(std::uint64_t cluster_id, std::int64_t revision, State::Keys keys, Actions* actions);
-  void ApplyDifference(std::int64_t revision, State::Keys keys, Actions* actions);
+  void SkipTo(std::int64_t revision, State::Keys keys, Actions* actions);
   StoredEventPtr Store(pb::Event::EventType type, pb::KeyValue kv) const;
   void ApplyBatch(std::shared_ptr<Batch> batch,
                   std::vector<std::pair<pb::Event::EventType, pb::KeyValue>> events, Actions* actions);
@@ -178,27 +178,15 @@
   window.Trim();
 }
 
-void Relay::Impl::ApplyDifference(std::int64_t revision, State::Keys keys, Actions* actions) {
+// The same history, listed again: what lay between is not known. Keys may have come and gone there, so that a
+// difference of the two lists, given as events, would lose deletions for one who resumes in its midst, and a
+// relay below could not tell it from events. As etcd does after a compaction, all watches are told to list.
+void Relay::Impl::SkipTo(std::int64_t revision, State::Keys keys, Actions* actions) {
   if (revision == position.revision) return;
-  std::vector<std::pair<pb::Event::EventType, pb::KeyValue>> events;
-  for (const KeyValuePtr& kv : keys) {
-    const KeyValuePtr held = state.Find(kv->key());
-    if (!held || held->mod_revision() != kv->mod_revision()) events.emplace_back(pb::Event::PUT, *kv);
-  }
-  for (const KeyValuePtr& kv : state.keys()) {
-    if (keys.count(kv->key())) continue;
-    pb::KeyValue gone;  // when it went is not known: by the snapshot's revision
-    gone.set_key(kv->key());
-    gone.set_mod_revision(revision);
-    events.emplace_back(pb::Event::DELETE, std::move(gone));
-  }
-  std::stable_sort(events.begin(), events.end(), [](const auto& a, const auto& b) {
-    return a.second.mod_revision() < b.second.mod_revision();
-  });
-  auto batch = std::make_shared<Batch>();
-  batch->to = revision;
-  batch->difference = true;
-  ApplyBatch(std::move(batch), std::move(events), actions);
+  state.Replace(std::move(keys));
+  window.Reset(revision);
+  position.revision = revision;
+  subscribers.TellAllToReread(revision, actions);
 }
 
 void Relay::UpstreamSnapshot(Time now, std::uint64_t cluster_id, std::int64_t revision,
@@ -211,7 +199,7 @@
   const bool continues = impl_->position.known && impl_->Continues(cluster_id, revision, keys);
   const bool replaced = impl_->position.known && !continues;
   if (continues) {
-    impl_->ApplyDifference(revision, std::move(keys), actions);
+    impl_->SkipTo(revision, std::move(keys), actions);
   } else {
     impl_->ReplaceHistory(cluster_id, revision, std::move(keys), actions);
   }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -90,8 +90,8 @@
 
   // ---- the upstream
   // The whole state of the prefix at `revision`. Another cluster id or a lower revision than before: history
-  // was replaced, all subscribers are told to read again. Same history and a higher revision: the difference
-  // becomes events.
+  // was replaced, all subscribers are told to read again. Same history and a higher revision: what lay
+  // between is not known; watches from there are canceled with the revision as compacted, as etcd does.
   void UpstreamSnapshot(Time now, std::uint64_t cluster_id, std::int64_t revision,
                         std::vector<etcdserverpb::KeyValue> kvs, Actions* actions);
   // Events in (the revision so far, `revision`], in order, every revision whole.
--- a/src/relay/subscribers.cpp
+++ b/src/relay/subscribers.cpp
@@ -31,8 +31,8 @@
   added.cursor = window_.FirstAfter(added.next_revision - 1);
   Wake(id, &added, actions);
   if (!added.refusal.empty()) return;
-  if (const auto compacted = window_.CompactedFor(added.next_revision)) {
-    TellToReread(id, &added, *compacted);
+  if (added.next_revision <= window_.floor()) {
+    TellToReread(id, &added, window_.floor());
   } else {
     resumed_ += !from_now;
     if (Lags(added)) Merge(id, &added, position);
@@ -93,11 +93,6 @@
   return wanted;
 }
 
-bool Subscribers::CannotCross(const Subscriber& subscriber, const Batch& batch) {
-  const std::int64_t held = subscriber.next_revision - 1;
-  return batch.difference && held > batch.from && held < batch.to;
-}
-
 bool Subscribers::Lags(const Subscriber& subscriber) const {
   const std::uint64_t oldest = subscriber.cursor - (subscriber.batch ? 1 : 0);
   return oldest < window_.FirstToKeep() || window_.BytesFrom(subscriber.cursor) > settings_.backlog_bytes;
@@ -107,10 +102,9 @@
   const std::uint64_t newest = window_.end() - 1;
   const Batch& batch = window_.At(newest);
   for (const auto& [range, ids] : by_range_) {
-    const bool concerned = batch.difference || std::any_of(batch.events.begin(), batch.events.end(),
-                                                           [&range = range](const StoredEventPtr& event) {
-                                                             return range.Contains(event->kv->key());
-                                                           });
+    const bool concerned = std::any_of(
+        batch.events.begin(), batch.events.end(),
+        [&range = range](const StoredEventPtr& event) { return range.Contains(event->kv->key()); });
     if (!concerned) continue;
     for (const SubscriberId id : ids) {
       Subscriber& subscriber = subscribers_.at(id);
@@ -151,8 +145,6 @@
 
 void Subscribers::AddToBacklog(SubscriberId id, Subscriber* subscriber, const Batch& batch,
                                const CachePosition& position) {
-  if (CannotCross(*subscriber, batch)) return TellToReread(id, subscriber, batch.to);
-  subscriber->crossed_difference |= batch.difference;
   subscriber->backlog->Add(batch.to, Wanted(*subscriber, batch));
   CountMerged(subscriber);
   if (subscriber->counted > settings_.merged_events) TellToReread(id, subscriber, position.revision);
@@ -173,6 +165,16 @@
   ++told_to_reread_;
 }
 
+void Subscribers::TellAllToReread(std::int64_t revision, Actions* actions) {
+  for (auto& [id, subscriber] : subscribers_) {
+    subscriber.cursor = window_.end();
+    if (subscriber.next_revision > revision || subscriber.compacted != 0 || !subscriber.refusal.empty())
+      continue;
+    TellToReread(id, &subscriber, revision);
+    Wake(id, &subscriber, actions);
+  }
+}
+
 void Subscribers::DropBacklog(SubscriberId id, Subscriber* subscriber) {
   subscriber->backlog.reset();
   slow_.erase(id);
@@ -202,12 +204,7 @@
   KeyValuePtr previous;
   while (subscriber->cursor < window_.end()) {
     const BatchPtr& batch = window_.Share(subscriber->cursor++);
-    if (CannotCross(*subscriber, *batch)) {
-      TellToReread(id, subscriber, batch->to);
-      return false;
-    }
     subscriber->batch = batch;
-    subscriber->crossed_difference |= batch->difference;
     subscriber->sending_revision = batch->to;
     if (NextToSend(subscriber, &previous) != nullptr) return true;
     FinishSending(subscriber);
@@ -232,7 +229,6 @@
 
 void Subscribers::GiveEvents(Subscriber* subscriber, std::size_t max_bytes, pb::WatchResponse* response) {
   std::size_t bytes = 0;
-  std::int64_t last_revision = 0;
   KeyValuePtr previous;
   while (const StoredEvent* stored = NextToSend(subscriber, &previous)) {
     if (!subscriber->prev_kv) previous.reset();
@@ -242,17 +238,12 @@
       return;
     }
     bytes += size;
-    last_revision = stored->revision();
     pb::Event* event = response->add_events();
     event->set_type(stored->deletion ? pb::Event::DELETE : pb::Event::PUT);
     *event->mutable_kv() = *stored->kv;
     if (previous) *event->mutable_prev_kv() = *previous;
     ++subscriber->sent;
   }
-  // A reader names the last event's revision, as etcd's headers don't bind it to more. After a difference its
-  // state is that of the difference's end: it learns so by progress.
-  if (std::exchange(subscriber->crossed_difference, false) && last_revision < subscriber->sending_revision)
-    subscriber->progress_due = true;
   FinishSending(subscriber);
 }
 
--- a/src/relay/subscribers.h
+++ b/src/relay/subscribers.h
@@ -47,6 +47,8 @@
   void RequestProgress(SubscriberId id, Actions* actions);
   // The window's newest batch was appended, and nothing trimmed for it yet.
   void BatchAppended(const CachePosition& position, Actions* actions);
+  // The window was reset: what lies before `revision` can't be given any more.
+  void TellAllToReread(std::int64_t revision, Actions* actions);
   // `may_report_progress`: the upstream is followed, so that the cache's revision says something of now.
   bool Take(Time now, SubscriberId id, std::size_t max_bytes, const CachePosition& position,
             bool may_report_progress, etcdserverpb::WatchResponse* response);
@@ -68,7 +70,6 @@
     std::int64_t compacted = 0;      // not 0: canceled, this revision and all before are compacted
     bool awake = false;              // has something to send; if not, it has been given all there was
     bool progress_due = false;
-    bool crossed_difference = false;  // what is being sent, or merged, holds a difference of snapshots
     Time last_message{0};
     std::uint64_t cursor = 0;                // while awake and not slow: the next batch in the window
     std::unique_ptr<MergedBacklog> backlog;  // while slow
@@ -84,8 +85,6 @@
 
   static bool Wants(const Subscriber& subscriber, const StoredEvent& event);
   static std::vector<StoredEventPtr> Wanted(const Subscriber& subscriber, const Batch& batch);
-  // The batch is a difference that takes no one further who is where this subscriber is.
-  static bool CannotCross(const Subscriber& subscriber, const Batch& batch);
   void Wake(SubscriberId id, Subscriber* subscriber, Actions* actions);
   void Merge(SubscriberId id, Subscriber* subscriber, const CachePosition& position);
   void AddToBacklog(SubscriberId id, Subscriber* subscriber, const Batch& batch,
--- a/src/relay/window.cpp
+++ b/src/relay/window.cpp
@@ -60,13 +60,4 @@
   return after == end() || revision <= At(after).from;
 }
 
-std::optional<std::int64_t> Window::CompactedFor(std::int64_t start_revision) const {
-  if (start_revision <= floor_) return floor_;
-  const std::uint64_t after = FirstAfter(start_revision - 1);
-  if (after == end()) return std::nullopt;
-  const Batch& batch = At(after);
-  if (batch.difference && start_revision - 1 > batch.from) return batch.to;
-  return std::nullopt;
-}
-
 }  // namespace badgerbridge::relay
--- a/src/relay/window.h
+++ b/src/relay/window.h
@@ -7,7 +7,6 @@
 
 #include <cstdint>
 #include <deque>
-#include <optional>
 
 #include "relay/event.h"
 
@@ -38,8 +37,6 @@
   std::int64_t floor() const { return floor_; }
   // Whether the state at `revision` is known: not before the floor and not in the midst of a batch.
   bool Holds(std::int64_t revision) const;
-  // Whether a watch may start with `revision`. If not: the revision to name as compacted.
-  std::optional<std::int64_t> CompactedFor(std::int64_t start_revision) const;
 
   std::size_t bytes() const { return bytes_; }
   std::size_t events() const { return events_; }
--- a/tests/relay/random_test.cpp
+++ b/tests/relay/random_test.cpp
@@ -21,11 +21,11 @@
   const auto add = [&](const char* name, std::uint64_t value) {
     text += std::string(text.empty() ? "" : " ") + name + "=" + std::to_string(value);
   };
-  add("steps", counts.steps), add("applied", counts.applied), add("early", counts.early);
+  add("steps", counts.steps), add("applied", counts.applied);
   add("drains_checked", counts.drains_checked), add("reads", counts.reads), add("cuts", counts.cuts);
   add("stalls", counts.stalls), add("restarts", counts.restarts), add("compactions", counts.compactions);
   add("restores", counts.restores), add("outages", counts.outages), add("snapshots", counts.snapshots);
-  add("resumes", counts.resumes), add("differences", counts.differences), add("rereads", counts.rereads);
+  add("resumes", counts.resumes), add("lists_again", counts.lists_again), add("rereads", counts.rereads);
   add("merged", counts.merged), add("fragments", counts.fragments), add("tampered", counts.tampered);
   return text;
 }
@@ -53,7 +53,7 @@
   EXPECT_GT(counts.resumes, 20u);
   EXPECT_GT(counts.merged, 100u);
   EXPECT_GT(counts.fragments, 100u);
-  EXPECT_LT(counts.early * 100, counts.applied) << "a difference explains few of them";
+  EXPECT_GT(counts.lists_again, 2u);
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, RelayRandomTest, ::testing::Range<std::uint64_t>(1, kSeeds + 1));
--- a/tests/relay/upstream_test.cpp
+++ b/tests/relay/upstream_test.cpp
@@ -16,6 +16,14 @@
     relay_.Established(1, WatchAll());
     ASSERT_FALSE(relay_.Take(1));
   }
+  void ExpectToldToReread(SubscriberId subscriber, std::int64_t compact_revision) {
+    const auto message = relay_.Take(subscriber);
+    ASSERT_TRUE(message);
+    EXPECT_TRUE(message->canceled());
+    EXPECT_EQ(message->compact_revision(), compact_revision);
+    EXPECT_EQ(message->events_size(), 0);
+    EXPECT_FALSE(relay_.Take(subscriber));
+  }
   void ExpectRejected(const std::string& why) {
     ASSERT_EQ(relay_.rejected, Strings{why});
     EXPECT_FALSE(relay_.relay().status().connected);
@@ -29,82 +37,54 @@
     EXPECT_EQ(relay_.StateNow(), "a=1 b=2");
     EXPECT_FALSE(relay_.Take(1));
     EXPECT_EQ(relay_.rejected.size(), 1u);
-    // A new list mends it, and nothing was lost.
+    // A new list mends it: who watches is told to read again.
     relay_.Snapshot(30, {Kv("/p/a", "now", 20, 3)});
-    EXPECT_EQ(relay_.Messages(1), (Messages{{"PUT a=now@20", "DELETE b@30"}}));
+    ExpectToldToReread(1, 30);
+    EXPECT_EQ(relay_.StateNow(), "a=now");
     EXPECT_TRUE(relay_.relay().status().connected);
   }
 
   Harness relay_;
 };
 
-TEST_F(RelayUpstreamTest, ANewSnapshotBecomesEvents) {
-  relay_.Snapshot(20, {Kv("/p/a", "new", 15, 3), Kv("/p/c", "3", 12)});
-  const auto messages = relay_.TakeAll(1);
-  ASSERT_EQ(messages.size(), 1u);
-  EXPECT_EQ(Text(messages[0]), (Strings{"PUT c=3@12", "PUT a=new@15", "DELETE b@20"}));
-  EXPECT_EQ(messages[0].header().revision(), 20);
-  EXPECT_TRUE(relay_.ended.empty()) << "one who was current goes on";
-}
-
-// Its last event says 15, and the state is that at 20: progress follows at once, without a request.
-TEST_F(RelayUpstreamTest, ADifferenceThatEndsBeforeItsRevisionIsFollowedByProgress) {
-  relay_.Snapshot(20, {Kv("/p/a", "new", 15, 3), Kv("/p/b", "2", 10)});
-  const auto messages = relay_.TakeAll(1);
-  ASSERT_EQ(messages.size(), 2u);
-  EXPECT_EQ(Text(messages[0]), (Strings{"PUT a=new@15"}));
-  EXPECT_EQ(messages[1].events_size(), 0);
-  EXPECT_EQ(messages[1].header().revision(), 20);
-}
-
-// Keys that came and went between the snapshots are in no difference: who holds a state in between would keep
-// them. Who holds that at its beginning, or one in the window before it, can go on.
-TEST_F(RelayUpstreamTest, NobodyResumesInsideADifference) {
+// Keys that came and went between two lists are in neither: nobody is carried over the gap by events, also
+// not one who was current, since a relay below would let others resume inside what looks like events.
+TEST_F(RelayUpstreamTest, ANewListTellsWatchesToReadAgain) {
   relay_.Event(Put("/p/a", "11", 11));
-  relay_.Snapshot(20, {Kv("/p/a", "11", 11, 3)});
-  for (std::int64_t start = 13; start <= 20; ++start) {
+  relay_.Established(2, WatchAll(11));
+  relay_.Snapshot(20, {Kv("/p/a", "new", 15, 3), Kv("/p/c", "3", 12)});
+  EXPECT_EQ(relay_.StateNow(), "a=new c=3");
+  ExpectToldToReread(1, 20);
+  ExpectToldToReread(2, 20);
+  EXPECT_TRUE(relay_.ended.empty()) << "etcd's way: canceled with the compacted revision";
+  for (std::int64_t start = 10; start <= 20; ++start) {
     const auto id = static_cast<SubscriberId>(100 + start);
     relay_.Established(id, WatchAll(start));
-    const auto message = relay_.Take(id);
-    ASSERT_TRUE(message && message->canceled()) << start;
-    EXPECT_EQ(message->compact_revision(), 20);
+    ExpectToldToReread(id, 20);
   }
-  relay_.Established(2, WatchAll(12));
-  EXPECT_EQ(relay_.Messages(2), (Messages{{"DELETE b@20"}}));
-  relay_.Established(3, WatchAll(11));
-  EXPECT_EQ(relay_.Messages(3), (Messages{{"PUT a=11@11"}, {"DELETE b@20"}}));
   relay_.Established(4, WatchAll(21));
-  EXPECT_TRUE(relay_.Messages(4).empty());
+  relay_.Event(Put("/p/a", "21", 21));
+  EXPECT_EQ(relay_.Messages(4), (Messages{{"PUT a=21@21"}}));
+  pb::RangeRequest old = ListAll();
+  old.set_revision(11);
+  EXPECT_EQ(relay_.ReadNow(old).status.code, Code::kOutOfRange);
 }
 
-TEST_F(RelayUpstreamTest, AnEmptyDifferenceCantBeEnteredEither) {
+TEST_F(RelayUpstreamTest, AnEqualListAtAHigherRevisionHidesWhatCameAndWent) {
   relay_.Snapshot(20, {Kv("/p/a", "1", 3), Kv("/p/b", "2", 10)});
-  EXPECT_FALSE(relay_.Take(1));
-  relay_.Established(2, WatchAll(15));
-  const auto message = relay_.Take(2);
-  ASSERT_TRUE(message && message->canceled());
-  EXPECT_EQ(message->compact_revision(), 20);
-  relay_.Event(Put("/p/a", "2", 21));
-  EXPECT_EQ(relay_.Messages(1), (Messages{{"PUT a=2@21"}}));
+  ExpectToldToReread(1, 20);
 }
 
-TEST_F(RelayUpstreamTest, AStartInTheFutureInsideADifferenceIsTold) {
+TEST_F(RelayUpstreamTest, AStartInTheFutureIsToldOnlyOnceItIsPassed) {
   relay_.Established(2, WatchAll(15));
+  relay_.Established(3, WatchAll(21));
   ASSERT_FALSE(relay_.Take(2));
+  ASSERT_FALSE(relay_.Take(3));
   relay_.Snapshot(20, {Kv("/p/a", "1", 3)});
-  const auto message = relay_.Take(2);
-  ASSERT_TRUE(message && message->canceled());
-  EXPECT_EQ(message->compact_revision(), 20);
-}
-
-TEST_F(RelayUpstreamTest, DifferencesWithoutEventsAreBounded) {
-  Settings settings = TestSettings();
-  settings.window_bytes = 1000;
-  Harness relay(settings);
-  relay.Snapshot(10, {});
-  for (std::int64_t revision = 11; revision < 1000; ++revision) relay.Snapshot(revision, {});
-  EXPECT_LE(relay.relay().status().window_bytes, 1000u);
-  EXPECT_GT(relay.relay().status().compact_revision, 900);
+  ExpectToldToReread(2, 20);
+  EXPECT_FALSE(relay_.Take(3));
+  relay_.Event(Put("/p/a", "21", 21));
+  EXPECT_EQ(relay_.Messages(3), (Messages{{"PUT a=21@21"}}));
 }
 
 TEST_F(RelayUpstreamTest, ARevisionThatGoesBackReplacesHistory) {
@@ -154,7 +134,8 @@
   EXPECT_EQ(relay_.ended.size(), 1u) << "another state at the same revision is another history";
 }
 
-// The upstream has compacted what this relay needs to resume: its own readers get the difference.
+// The upstream has compacted what this relay needs to resume: its readers are told the same, and what had not
+// been given yet is not given in part.
 TEST_F(RelayUpstreamTest, CompactionUpstreamWhileASubscriberCatchesUp) {
   relay_.Event(Put("/p/a", "11", 11));
   relay_.Event(Put("/p/b", "12", 12));
@@ -162,8 +143,9 @@
   EXPECT_EQ(Text(*relay_.Take(2)), Strings{"PUT a=11@11"});
   relay_.Lost();
   relay_.Snapshot(40, {Kv("/p/a", "33", 33, 3), Kv("/p/c", "3", 35)});
-  EXPECT_EQ(relay_.Messages(2), (Messages{{"PUT b=12@12"}, {"PUT a=33@33", "PUT c=3@35", "DELETE b@40"}}));
+  ExpectToldToReread(2, 40);
   EXPECT_TRUE(relay_.ended.empty());
+  EXPECT_EQ(relay_.StateNow(), "a=33 c=3");
 }
 
 TEST_F(RelayUpstreamTest, RejectsEventsOutOfTheirOrder) {
--- a/tests/relay/world.cpp
+++ b/tests/relay/world.cpp
@@ -90,10 +90,6 @@
   cluster.newest_must_deliver[event.kv().key()] = revision;
 }
 
-void History::NoteDifference(std::uint64_t cluster_id, std::int64_t from, std::int64_t to) {
-  clusters_[cluster_id].differences.push_back({from, to});
-}
-
 const Keys* History::At(std::uint64_t cluster_id, std::int64_t revision) const {
   const auto cluster = clusters_.find(cluster_id);
   if (cluster == clusters_.end()) return nullptr;
@@ -101,45 +97,19 @@
   return state == cluster->second.states.end() ? nullptr : &state->second;
 }
 
-std::optional<std::string> History::Check(std::uint64_t cluster_id, std::int64_t revision, const Keys& held,
-                                          bool* early) const {
-  *early = false;
+std::optional<std::string> History::Check(std::uint64_t cluster_id, std::int64_t revision,
+                                          const Keys& held) const {
   const Keys* state = At(cluster_id, revision);
   const std::string at = " at revision " + std::to_string(revision) + " of " + std::to_string(cluster_id);
   if (!state) return "names a revision that never was," + at;
   if (held == *state) return std::nullopt;
-  const std::string problem = "holds" + Text(held) + at + ", the source held" + Text(*state);
-  for (const auto& [key, value] : held) {
-    const auto found = state->find(key);
-    if (found == state->end() || found->second != value) return problem;
-  }
-  const Cluster& cluster = clusters_.at(cluster_id);
-  const auto explains = [&](const Difference& difference, const std::string& key) {
-    if (revision <= difference.from || revision >= difference.to) return false;
-    if (cluster.states.at(difference.from).count(key)) return false;
-    for (auto at_revision = cluster.deletions.upper_bound(revision);
-         at_revision != cluster.deletions.end() && at_revision->first <= difference.to; ++at_revision) {
-      const auto& keys = at_revision->second;
-      if (std::find(keys.begin(), keys.end(), key) != keys.end()) return true;
-    }
-    return false;
-  };
-  for (const auto& [key, value] : *state) {
-    if (held.count(key)) continue;
-    const auto by = [&, &name = key](const Difference& difference) { return explains(difference, name); };
-    if (std::none_of(cluster.differences.begin(), cluster.differences.end(), by)) return problem;
-  }
-  *early = true;
-  return std::nullopt;
+  return "holds" + Text(held) + at + ", the source held" + Text(*state);
 }
 
 std::map<std::string, std::int64_t> History::MustSee(std::uint64_t cluster_id, std::int64_t from,
                                                      std::int64_t to) const {
   std::map<std::string, std::int64_t> newest;
   const Cluster& cluster = clusters_.at(cluster_id);
-  for (const Difference& difference : cluster.differences) {
-    if (difference.from < to && difference.to > from) return {};
-  }
   for (auto at = cluster.must_deliver.upper_bound(from); at != cluster.must_deliver.end() && at->first <= to;
        ++at) {
     for (const std::string& key : at->second) newest[key] = at->first;
@@ -179,6 +149,7 @@
 void Client::Drop() {
   if (!session_) return;
   session_->open = false;
+  session_->held.clear();  // what is there holds the session itself
   Unwatch(session_);
   session_.reset();
 }
@@ -610,8 +581,7 @@
   void Snapshot(std::uint64_t cluster_id, std::int64_t revision, std::vector<pb::KeyValue> kvs) {
     const Relay::Status before = core_->status();
     if (before.cluster_id == cluster_id && before.revision > 0 && before.revision < revision) {
-      world_.history().NoteDifference(cluster_id, before.revision, revision);
-      ++world_.count().differences;
+      ++world_.count().lists_again;
     }
     Act([&](auto* actions) {
       core_->UpstreamSnapshot(world_.now(), cluster_id, revision, std::move(kvs), actions);
@@ -728,10 +698,8 @@
     }
     cluster_id_ = cluster_id;
     revision_ = revision;
-    bool early = false;
-    if (const auto problem = world_.history().Check(cluster_id, revision, held_, &early))
+    if (const auto problem = world_.history().Check(cluster_id, revision, held_))
       world_.Violated(name_ + " " + *problem);
-    world_.count().early += early;
   }
 
   World& world_;
@@ -838,20 +806,18 @@
   if (!relay.up()) return;
   const std::uint64_t cluster_id = source_->cluster_id();
   const std::int64_t revision = source_->store().revision();
-  relay.Range(
-      ListAll(), [this, cluster_id, revision](const Status& status, const pb::RangeResponse& response) {
-        if (!status.ok()) return;
-        ++counts_.reads;
-        const auto& header = response.header();
-        if (header.cluster_id() < cluster_id ||
-            (header.cluster_id() == cluster_id && header.revision() < revision))
-          Violated("a linearizable read is answered at revision " + std::to_string(header.revision()) +
-                   ", begun after " + std::to_string(revision));
-        bool early = false;
-        if (const auto problem =
-                history_.Check(header.cluster_id(), header.revision(), ToKeys(response.kvs()), &early))
-          Violated("a read " + *problem);
-      });
+  relay.Range(ListAll(), [this, cluster_id, revision](const Status& status,
+                                                      const pb::RangeResponse& response) {
+    if (!status.ok()) return;
+    ++counts_.reads;
+    const auto& header = response.header();
+    if (header.cluster_id() < cluster_id ||
+        (header.cluster_id() == cluster_id && header.revision() < revision))
+      Violated("a linearizable read is answered at revision " + std::to_string(header.revision()) +
+               ", begun after " + std::to_string(revision));
+    if (const auto problem = history_.Check(header.cluster_id(), header.revision(), ToKeys(response.kvs())))
+      Violated("a read " + *problem);
+  });
 }
 
 void World::CheckBounds() {
--- a/tests/relay/world.h
+++ b/tests/relay/world.h
@@ -43,28 +43,20 @@
  public:
   void Note(std::uint64_t cluster_id, std::int64_t revision, Keys keys);
   void NoteEvent(std::uint64_t cluster_id, const pb::Event& event);
-  // A relay went from one revision to the other by the difference of two snapshots.
-  void NoteDifference(std::uint64_t cluster_id, std::int64_t from, std::int64_t to);
 
   const Keys* At(std::uint64_t cluster_id, std::int64_t revision) const;
-  // Why what is held is not the source's state; nothing if it is. `early` is set for what a difference
-  // explains: a key that came and went in it is gone before its time.
-  std::optional<std::string> Check(std::uint64_t cluster_id, std::int64_t revision, const Keys& held,
-                                   bool* early) const;
-  // The newest event of each key in (from, to] that must be delivered; none if a difference hides them, and
-  // not of keys of which there is a newer one after `to`: that one stands in for it.
+  // Why what is held is not the source's state; nothing if it is.
+  std::optional<std::string> Check(std::uint64_t cluster_id, std::int64_t revision, const Keys& held) const;
+  // The newest event of each key in (from, to] that must be delivered; not of keys of which there is a newer
+  // one after `to`: that one stands in for it.
   std::map<std::string, std::int64_t> MustSee(std::uint64_t cluster_id, std::int64_t from,
                                               std::int64_t to) const;
 
  private:
-  struct Difference {
-    std::int64_t from, to;
-  };
   struct Cluster {
     std::map<std::int64_t, Keys> states;
     std::map<std::int64_t, std::vector<std::string>> deletions, must_deliver;  // keys by revision
     std::map<std::string, std::int64_t> newest_must_deliver;
-    std::vector<Difference> differences;
   };
   std::map<std::uint64_t, Cluster> clusters_;
 };
@@ -160,9 +152,9 @@
 class Reader;
 
 struct Counts {
-  std::uint64_t steps = 0, applied = 0, early = 0, drains_checked = 0, reads = 0, cuts = 0, stalls = 0,
-                restarts = 0, compactions = 0, restores = 0, outages = 0, snapshots = 0, resumes = 0,
-                differences = 0, rereads = 0, merged = 0, fragments = 0, tampered = 0;
+  std::uint64_t steps = 0, applied = 0, drains_checked = 0, reads = 0, cuts = 0, stalls = 0, restarts = 0,
+                compactions = 0, restores = 0, outages = 0, snapshots = 0, resumes = 0, lists_again = 0,
+                rereads = 0, merged = 0, fragments = 0, tampered = 0;
 };
 
 class World {
