Drop Config::drain_grace, which nothing used

It was read from the platform's file and used by a test alone. The proxy uses nothing of the grace after a drain: what has not begun goes elsewhere (Backends::Takes).

--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -135,7 +135,6 @@
   config.kinds = Names(*settings, "/kinds");
   config.connect_timeout = Duration(NumberOr(*settings, "/permissions/connectTimeoutMs", 250));
   config.idle_limit = Duration(NumberOr(*settings, "/permissions/connIdleMs", 15000));
-  config.drain_grace = Duration(NumberOr(*settings, "/rules/drainGraceMs", 0));
 
   const auto sockets = static_cast<std::size_t>(NumberOr(root, "/limits/sockets", 1024));
   if (sockets < kLeastSockets) throw BadConfig("limits.sockets is too few to serve with");
--- a/src/node/config.h
+++ b/src/node/config.h
@@ -34,8 +34,7 @@
   std::vector<std::string> classes, tenants, zones, kinds;  // names, by the module's indices
   Duration connect_timeout{250};
   Duration idle_limit{15000};  // a backend closes a connection that was idle for this long
-  Duration drain_grace{0};
-  boost::json::value known;  // the last list of backends, in discovery's form
+  boost::json::value known;    // the last list of backends, in discovery's form
 };
 
 using Environment = std::function<const char*(const char*)>;  // as getenv
