Let the stand-in etcd publish to a new watch alone

Each watch that began made the stand-in look at every watch of every connection, and every 20 ms it flushed all connections: with 1,000 clients a third of them that came back at once went unanswered for longer than a ping may take, and came back again (5,108 connections for 100 starts; a drain 855 ms late after an endpoint fell silent). That was the rig's limit, not the product's.

A new watch is given what is new to it alone; the timer flushes only where it said something. The rig's own digests and zone changes no longer hold the source up in one piece.

--- a/bench/scale_rig/source_process.cpp
+++ b/bench/scale_rig/source_process.cpp
@@ -1,8 +1,11 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
+#include <deque>
 #include <map>
+#include <optional>
 #include <stdexcept>
 
 #include "api/address.h"
@@ -38,9 +41,9 @@
     const std::string_view what = command.at("command").as_string();
     if (what == "open") return reply(Open(command));
     if (!etcd_) throw std::runtime_error("not open yet");
-    if (what == "write") return Write_(command, reply);
-    if (what == "zone") return reply(Zone(command));
-    if (what == "digests") return reply(Digests());
+    if (what == "write") return StartWrites(command, reply);
+    if (what == "zone") return StartZone(command, reply);
+    if (what == "digests") return StartDigests(reply);
     if (what == "silence") return reply(Silence(command));
     if (what == "status") return reply(Status());
     if (what == "speed") return reply(Speed());
@@ -74,7 +77,7 @@
   }
 
   // Paced; answers once all are written, with how long each took to be written to all connections.
-  void Write_(const json::object& command, const CommandServer::Reply& reply) {
+  void StartWrites(const json::object& command, const CommandServer::Reply& reply) {
     if (!left_.empty()) throw std::runtime_error("writes are under way");
     for (const std::size_t backend : NumbersIn(command, "backends")) left_.push_back(backend);
     kind_ = TextAt(command, "kind");
@@ -105,26 +108,32 @@
     });
   }
 
-  // Answers with the last revision of each service that was touched.
-  json::object Zone(const json::object& command) {
+  // Batch by batch, so that the source answers others meanwhile. Answers with the last revision of each
+  // service that was touched, all of them as written when the first batch was.
+  void StartZone(const json::object& command, const CommandServer::Reply& reply) {
     const auto zone = command.at("zone").to_number<std::size_t>();
-    const bool gone = command.at("gone").as_bool();
-    const std::int64_t at = NowNs();
-    std::map<std::size_t, Write> last;
-    std::size_t count = 0;
+    zone_ = ZoneChange{command.at("gone").as_bool(), {}, 0, NowNs(), {}, reply};
     for (std::size_t i = 0; i < size_.backends; ++i) {
-      if (ZoneOf(i) != zone) continue;
-      ChangePresence(i, !gone);
-      const std::size_t service = ServiceOf(size_, i);
-      last[service] = {static_cast<std::uint64_t>(etcd_->store().revision()), at, service};
-      if (++count % kWritesPublished == 0) etcd_->Publish();
+      if (ZoneOf(i) == zone) zone_.backends.push_back(i);
+    }
+    ContinueZone();
+  }
+
+  void ContinueZone() {
+    const std::size_t end = std::min(zone_.backends.size(), zone_.done + kWritesPublished);
+    for (; zone_.done < end; ++zone_.done) {
+      const std::size_t backend = zone_.backends[zone_.done];
+      ChangePresence(backend, !zone_.gone);
+      const std::size_t service = ServiceOf(size_, backend);
+      zone_.last[service] = {static_cast<std::uint64_t>(etcd_->store().revision()), zone_.began_ns, service};
     }
     etcd_->Publish();
+    if (zone_.done < zone_.backends.size()) return asio::post(io_, [this] { ContinueZone(); });
     json::array writes;
-    for (const auto& [service, write] : last) writes.push_back(ToJson(write));
-    return {{"writes", std::move(writes)},
-            {"backends", count},
-            {"publish_ms", static_cast<double>(NowNs() - at) / 1e6}};
+    for (const auto& [service, write] : zone_.last) writes.push_back(ToJson(write));
+    zone_.reply({{"writes", std::move(writes)},
+                 {"backends", zone_.backends.size()},
+                 {"publish_ms", static_cast<double>(NowNs() - zone_.began_ns) / 1e6}});
   }
 
   void ChangePresence(std::size_t backend, bool present) {
@@ -142,29 +151,59 @@
     }
   }
 
-  // From what the store holds, read as a client would, and not from what was meant to be written.
-  json::object Digests() {
+  // From what the store holds, read as a client would, and not from what was meant to be written; slice by
+  // slice, so that the source answers others meanwhile. Nothing may be written until it has answered.
+  void StartDigests(const CommandServer::Reply& reply) {
+    const auto revision = etcd_->store().revision();
+    if (digests_revision_ == revision) return reply(DigestsAnswer());
+    digests_revision_ = revision;
+    digests_.clear();
+    digest_keys_.clear();
+    slices_.clear();
+    if (size_.flat()) {
+      std::string begin = WholePrefix(size_);
+      for (std::size_t i = kPage; i < size_.backends; i += kPage)
+        slices_.emplace_back(std::exchange(begin, KeyOf(size_, i)), KeyOf(size_, i));
+      slices_.emplace_back(begin, etcd::PrefixRangeEnd(WholePrefix(size_)));
+    } else {
+      for (std::size_t service = 0; service < size_.services; ++service)
+        slices_.emplace_back(PrefixOf(size_, service), etcd::PrefixRangeEnd(PrefixOf(size_, service)));
+    }
+    ContinueDigests(reply);
+  }
+
+  void ContinueDigests(const CommandServer::Reply& reply) {
+    for (std::size_t taken = 0; taken < kPage && !slices_.empty(); slices_.pop_front())
+      taken += 1 + DigestSlice(slices_.front().first, slices_.front().second);
+    if (slices_.empty()) return reply(DigestsAnswer());
+    asio::post(io_, [this, reply] { ContinueDigests(reply); });
+  }
+
+  // How many keys it has.
+  std::size_t DigestSlice(const std::string& begin, const std::string& end) {
     pb::RangeRequest request;
-    request.set_key(WholePrefix(size_));
-    request.set_range_end(etcd::PrefixRangeEnd(WholePrefix(size_)));
+    request.set_key(begin);
+    request.set_range_end(end);
     pb::RangeResponse response;
     etcd_->store().Range(request, &response);
-    std::map<std::size_t, KeyIndex> keys;
-    std::map<std::size_t, StateDigest> digests;
     for (const pb::KeyValue& kv : response.kvs()) {
       const std::string name = kv.key().substr(kv.key().rfind('/') + 1);
       membership::Member member;
       if (ReadMember(name, kv.value(), &member)) throw std::runtime_error("a value that can't be read");
       const std::size_t service = ServiceOf(size_, std::stoull(name.substr(name.rfind('-') + 1)));
-      digests.try_emplace(service, &keys[service]).first->second.Put(name, VersionOf(member));
+      digests_.try_emplace(service, &digest_keys_[service]).first->second.Put(name, VersionOf(member));
     }
+    return static_cast<std::size_t>(response.kvs_size());
+  }
+
+  json::object DigestsAnswer() const {
     json::array all;
     for (std::size_t service = 0; service < size_.services; ++service) {
-      const auto digest = digests.find(service);
-      const DigestValue value = digest == digests.end() ? DigestValue() : digest->second.value();
+      const auto digest = digests_.find(service);
+      const DigestValue value = digest == digests_.end() ? DigestValue() : digest->second.value();
       all.push_back(json::object{{"service", service}, {"sum", value.sum}, {"count", value.count}});
     }
-    return {{"digests", std::move(all)}, {"revision", etcd_->store().revision()}};
+    return {{"digests", std::move(all)}, {"revision", digests_revision_}};
   }
 
   json::object Silence(const json::object& command) {
@@ -203,6 +242,15 @@
             {"bytes_per_entry", static_cast<double>(bytes) / static_cast<double>(entries)}};
   }
 
+  struct ZoneChange {
+    bool gone = false;
+    std::vector<std::size_t> backends;
+    std::size_t done = 0;  // of them
+    std::int64_t began_ns = 0;
+    std::map<std::size_t, Write> last;  // by service
+    CommandServer::Reply reply;
+  };
+
   asio::io_context& io_;
   TcpByteCounter tcp_;  // sampled when asked: what connections carried that ended between is not in it
   Size size_;
@@ -215,6 +263,11 @@
   json::array written_;
   std::vector<double> publish_ms_;
   CommandServer::Reply reply_;
+  ZoneChange zone_;
+  std::int64_t digests_revision_ = 0;  // at which the digests were taken
+  std::map<std::size_t, KeyIndex> digest_keys_;
+  std::map<std::size_t, StateDigest> digests_;              // by service
+  std::deque<std::pair<std::string, std::string>> slices_;  // ranges of keys that are still to be read
   asio::steady_timer timer_;
   CommandServer commands_;
 };
--- a/tests/standins/etcd.cpp
+++ b/tests/standins/etcd.cpp
@@ -35,13 +35,14 @@
   std::int64_t applied = 0;  // while it lags
 };
 
+struct Etcd::Watch {
+  std::int64_t id = 0, next = 0;
+  std::string key, end;
+  bool progress = false, prev_kv = false, fragment = false, no_puts = false, no_deletes = false;
+  std::chrono::steady_clock::time_point told = Clock::now();
+};
+
 struct Etcd::Stream {
-  struct Watch {
-    std::int64_t id = 0, next = 0;
-    std::string key, end;
-    bool progress = false, prev_kv = false, fragment = false, no_puts = false, no_deletes = false;
-    std::chrono::steady_clock::time_point told = Clock::now();
-  };
   Stream(etcd::StreamId i, etcd::CallHead h) : id(i), head(std::move(h)) {}
   etcd::StreamId id;
   etcd::CallHead head;
@@ -451,10 +452,10 @@
   Head(connection.member, response.mutable_header());
   if (request.has_create_request()) {
     const pb::WatchCreateRequest& create = request.create_request();
-    Stream::Watch watch;
+    Watch watch;
     const auto taken = [&](std::int64_t id) {
       return std::any_of(stream.watches.begin(), stream.watches.end(),
-                         [&](const Stream::Watch& other) { return other.id == id; });
+                         [&](const Watch& other) { return other.id == id; });
     };
     if (create.watch_id() != 0 && taken(create.watch_id())) {
       response.set_watch_id(-1);
@@ -486,12 +487,11 @@
       connection.Say(stream, response.SerializeAsString());
     } else {
       stream.watches.push_back(std::move(watch));
-      Publish();
+      Publish(connection);  // what is new to this watch; the others have theirs
     }
   } else if (request.has_cancel_request()) {
     const std::int64_t id = request.cancel_request().watch_id();
-    const auto removed =
-        std::erase_if(stream.watches, [&](const Stream::Watch& watch) { return watch.id == id; });
+    const auto removed = std::erase_if(stream.watches, [&](const Watch& watch) { return watch.id == id; });
     if (removed == 0) return;
     response.set_watch_id(id);
     response.set_canceled(true);
@@ -505,55 +505,63 @@
 // Every watch gets what is new to it, in order.
 void Etcd::Publish() {
   for (const auto& member : members_) {
-    const std::int64_t until = member->lag ? member->applied : store_->revision();
     const auto connections = member->connections;
-    for (const auto& connection : connections) {
-      for (auto& [id, stream] : connection->streams) {
-        if (stream->finished) continue;
-        if (stream->waits && !member->lag) {
-          const pb::RangeRequest request = *std::exchange(stream->waits, std::nullopt);
-          pb::RangeResponse answer;
-          const Status status = store_->Range(request, &answer);
-          Head(*member, answer.mutable_header());
-          if (status.ok()) connection->Say(*stream, answer.SerializeAsString());
-          connection->Finish(*stream, status);
-          continue;
-        }
-        for (Stream::Watch& watch : stream->watches) {
-          if (watch.next > until) continue;
-          std::vector<pb::Event> events = store_->Events(watch.key, watch.end, watch.next, watch.prev_kv);
-          std::erase_if(events, [&](const pb::Event& event) {
-            return event.kv().mod_revision() > until ||
-                   (event.type() == pb::Event::PUT ? watch.no_puts : watch.no_deletes);
-          });
-          watch.next = until + 1;
-          pb::WatchResponse response;
-          const auto say = [&](bool more) {
-            Head(*member, response.mutable_header());
-            response.set_watch_id(watch.id);
-            response.set_fragment(more);
-            connection->Say(*stream, response.SerializeAsString());
-            response.Clear();
-          };
-          std::size_t size = 0, left = events.size();
-          for (const pb::Event& event : events) {
-            *response.add_events() = event;
-            size += event.ByteSizeLong();
-            --left;
-            if (watch.fragment && size >= settings_.fragment_bytes && left > 0) {
-              say(true);
-              size = 0;
-            }
-          }
-          if (response.events_size() > 0) {
-            say(false);
-            watch.told = Clock::now();
-          }
-        }
-      }
-      connection->Flush();
+    for (const auto& connection : connections) Publish(*connection);
+  }
+}
+
+void Etcd::Publish(Connection& connection) {
+  for (auto& [id, stream] : connection.streams) {
+    if (stream->finished) continue;
+    if (stream->waits && !connection.member.lag) {
+      AnswerWaiting(connection, *stream);
+      continue;
+    }
+    for (Watch& watch : stream->watches) Publish(connection, *stream, &watch);
+  }
+  connection.Flush();
+}
+
+// A read that had to wait until the member had caught up.
+void Etcd::AnswerWaiting(Connection& connection, Stream& stream) {
+  const pb::RangeRequest request = *std::exchange(stream.waits, std::nullopt);
+  pb::RangeResponse answer;
+  const Status status = store_->Range(request, &answer);
+  Head(connection.member, answer.mutable_header());
+  if (status.ok()) connection.Say(stream, answer.SerializeAsString());
+  connection.Finish(stream, status);
+}
+
+void Etcd::Publish(Connection& connection, Stream& stream, Watch* watch) {
+  const std::int64_t until = connection.member.lag ? connection.member.applied : store_->revision();
+  if (watch->next > until) return;
+  std::vector<pb::Event> events = store_->Events(watch->key, watch->end, watch->next, watch->prev_kv);
+  std::erase_if(events, [&](const pb::Event& event) {
+    return event.kv().mod_revision() > until ||
+           (event.type() == pb::Event::PUT ? watch->no_puts : watch->no_deletes);
+  });
+  watch->next = until + 1;
+  pb::WatchResponse response;
+  const auto say = [&](bool more) {
+    Head(connection.member, response.mutable_header());
+    response.set_watch_id(watch->id);
+    response.set_fragment(more);
+    connection.Say(stream, response.SerializeAsString());
+    response.Clear();
+  };
+  std::size_t size = 0, left = events.size();
+  for (const pb::Event& event : events) {
+    *response.add_events() = event;
+    size += event.ByteSizeLong();
+    --left;
+    if (watch->fragment && size >= settings_.fragment_bytes && left > 0) {
+      say(true);
+      size = 0;
     }
   }
+  if (response.events_size() == 0) return;
+  say(false);
+  watch->told = Clock::now();
 }
 
 void Etcd::Tick() {
@@ -561,8 +569,9 @@
   for (const auto& member : members_) {
     const auto connections = member->connections;
     for (const auto& connection : connections) {
+      bool said = false;
       for (auto& [id, stream] : connection->streams) {
-        for (Stream::Watch& watch : stream->watches) {
+        for (Watch& watch : stream->watches) {
           if (stream->finished || !watch.progress || Clock::now() - watch.told < settings_.progress_every)
             continue;
           watch.told = Clock::now();
@@ -570,9 +579,10 @@
           Head(*member, response.mutable_header());
           response.set_watch_id(watch.id);
           connection->Say(*stream, response.SerializeAsString());
+          said = true;
         }
       }
-      connection->Flush();
+      if (said) connection->Flush();
     }
   }
   timer_.expires_after(milliseconds(20));
--- a/tests/standins/etcd.h
+++ b/tests/standins/etcd.h
@@ -85,11 +85,15 @@
   struct Member;
   struct Connection;
   struct Stream;
+  struct Watch;
   friend struct Connection;
 
   etcd::Http2ServerHandler Connected(Member& member, const std::shared_ptr<etcd::ServerConnection>& link);
   void Handle(Connection& connection, Stream& stream);
   void HandleWatch(Connection& connection, Stream& stream, std::string_view message);
+  void Publish(Connection& connection);
+  void Publish(Connection& connection, Stream& stream, Watch* watch);
+  void AnswerWaiting(Connection& connection, Stream& stream);
   void Tick();
   bool Allowed(const Stream& stream) const;
   void Head(const Member& member, pb::ResponseHeader* header) const;
