--- a/bench/scale_rig/digest.cpp
+++ b/bench/scale_rig/digest.cpp
@@ -60,23 +60,25 @@
 }
 
 void StateDigest::Apply(const membership::Report& report) {
-  if (report.whole) {
-    std::vector<std::pair<std::uint32_t, std::uint64_t>> kept;
-    for (const std::string& name : report.unreadable) {
-      const std::uint32_t index = keys_->IndexOf(name);
-      if (index < versions_.size()) kept.emplace_back(index, versions_[index]);
-    }
-    versions_.assign(versions_.size(), 0);
-    value_ = {};
-    for (const auto& [index, version] : kept) Set(index, version);
-  }
+  using membership::Page;
+  if (report.whole && (report.page == Page::kOnly || report.page == Page::kFirst))
+    listed_.assign(versions_.size(), false);
   for (const membership::Member& member : report.members) {
-    if (member.state == membership::State::kGone) {
-      Remove(member.name);
-    } else {
-      Put(member.name, VersionOf(member));
-    }
+    const std::uint32_t index = keys_->IndexOf(member.name);
+    Set(index, member.state == membership::State::kGone ? 0 : VersionOf(member));
+    if (report.whole) MarkListed(index);
+  }
+  for (const std::string& name : report.unreadable) MarkListed(keys_->IndexOf(name));
+  if (!report.EndsList()) return;
+  for (std::uint32_t index = 0; index < versions_.size(); ++index) {
+    if (index >= listed_.size() || !listed_[index]) Set(index, 0);
   }
+  listed_.clear();
+}
+
+void StateDigest::MarkListed(std::uint32_t index) {
+  if (index >= listed_.size()) listed_.resize(index + 1, false);
+  listed_[index] = true;
 }
 
 }  // namespace badgerbridge::scale
--- a/bench/scale_rig/digest.h
+++ b/bench/scale_rig/digest.h
@@ -54,17 +54,20 @@
 
   void Put(std::string_view key, std::uint64_t version) { Set(keys_->IndexOf(key), version); }
   void Remove(std::string_view key) { Set(keys_->IndexOf(key), 0); }
-  // From a source's report: a whole list replaces all but the entries that it calls unreadable.
+  // From a source's report: a whole list, once its last page is there, replaces all but the entries that it
+  // calls unreadable.
   void Apply(const membership::Report& report);
 
   const DigestValue& value() const { return value_; }
-  std::size_t bytes() const { return versions_.capacity() * sizeof(versions_[0]); }
+  std::size_t bytes() const { return versions_.capacity() * sizeof(versions_[0]) + listed_.capacity() / 8; }
 
  private:
   void Set(std::uint32_t index, std::uint64_t version);
+  void MarkListed(std::uint32_t index);
 
   KeyIndex* keys_;
   std::vector<std::uint64_t> versions_;  // by index; 0: not known
+  std::vector<bool> listed_;             // by index; by the pages of the list that is being read
   DigestValue value_;
 };
 
--- a/bench/scale_rig/experiments.cpp
+++ b/bench/scale_rig/experiments.cpp
@@ -247,6 +247,13 @@
       milliseconds(500), 10, checks);
   ReportBackendSlopes(by_backends, report);
   RunWhole(Sized(1000, 2000, 0, 4), 3, report, checks);
+  // All backends of an installation, each proxy with the service that it serves.
+  TrialSettings services = Sized(1000, 110000, 0, 4);
+  services.size.services = 6500;
+  services.size.services_per_proxy = 1;
+  services.name = Described(services);
+  report->UsePrefix("services_");
+  RunWhole(services, 0, report, checks);
 }
 
 void RunComparison(const TrialSettings& given, Report* report, bench::Checks* checks) {
--- a/bench/scale_rig/hollow_proxy.cpp
+++ b/bench/scale_rig/hollow_proxy.cpp
@@ -54,6 +54,7 @@
     if (!follow.ledger->Take(now, report, &changes)) ++refused_reports_;
   }
   follow.digest.Apply(report);
+  if (report.whole && !report.EndsList()) return;  // not the last page
   follow.times.push_back({report.version, NowNs()});
   if (follow.listed || !report.whole) return;
   follow.listed = true;
--- a/bench/scale_rig/report.cpp
+++ b/bench/scale_rig/report.cpp
@@ -8,12 +8,13 @@
 namespace badgerbridge::scale {
 
 void Report::Set(const std::string& key, double value) {
+  const std::string name = prefix_ + key;
   const auto known =
-      std::find_if(values_.begin(), values_.end(), [&](const auto& one) { return one.first == key; });
+      std::find_if(values_.begin(), values_.end(), [&](const auto& one) { return one.first == name; });
   if (known != values_.end()) {
     known->second = value;
   } else {
-    values_.emplace_back(key, value);
+    values_.emplace_back(name, value);
   }
 }
 
@@ -40,15 +41,13 @@
 }
 
 void PrintSpread(const std::string& name, const SpreadResult& result) {
-  std::printf(
-      "%s: %zu writes, each in force at a proxy after p50 %.1f ms, p99 %.1f, worst %.1f (%zu times counted, "
-      "%zu "
-      "missing); at the last proxy p50 %.1f ms, worst %.1f; of this the source wrote p50 %.1f ms, worst "
-      "%.1f, and "
-      "loops of hollow processes were late by %.1f at most\n",
-      name.c_str(), result.writes, result.in_force_ms.p50, result.in_force_ms.p99, result.in_force_ms.worst,
-      result.in_force_ms.count, result.missing, result.last_ms.p50, result.last_ms.worst,
-      result.publish_ms.p50, result.publish_ms.worst, result.loop_late_ms);
+  std::printf("%s: %zu writes, in force at a proxy after p50 %.1f ms, p99 %.1f, worst %.1f (%zu counted, %zu missing);",
+              name.c_str(), result.writes, result.in_force_ms.p50, result.in_force_ms.p99, result.in_force_ms.worst,
+              result.in_force_ms.count, result.missing);
+  std::printf(" at the last proxy p50 %.1f ms, worst %.1f; %.0f connections opened;", result.last_ms.p50,
+              result.last_ms.worst, result.opened);
+  std::printf(" of this the rig: source's writing p50 %.1f ms, worst %.1f, hollow loops late by %.1f at most\n",
+              result.publish_ms.p50, result.publish_ms.worst, result.loop_late_ms);
 }
 
 void PrintUsage(const std::string& name, const Usage& usage, std::size_t proxies) {
--- a/bench/scale_rig/report.h
+++ b/bench/scale_rig/report.h
@@ -15,12 +15,15 @@
 
 class Report {
  public:
+  // Before every key that is set from now on.
+  void UsePrefix(std::string prefix) { prefix_ = std::move(prefix); }
   // Kept in the order of their first mention. Three significant digits at least.
   void Set(const std::string& key, double value);
   // "scale: key=value ...", as the last line.
   void PrintLast(int broken) const;
 
  private:
+  std::string prefix_;
   std::vector<std::pair<std::string, double>> values_;
 };
 
--- a/bench/scale_rig/trial.cpp
+++ b/bench/scale_rig/trial.cpp
@@ -271,6 +271,7 @@
   const Usage usage = Since(before);
   SpreadResult result = AwaitInForce(written.at("writes").as_array(), false);
   result.usage = usage;
+  result.opened = Since(before).opened;
   result.publish_ms = Summarize(DoublesIn(written, "publish_ms"));
   ExpectWithin(kChangeBound, result, "a write was in force later than 5 s at a proxy");
   if (kind == "drain") {
@@ -285,6 +286,7 @@
   const json::object written = source_->Call({{"command", "zone"}, {"zone", zone}, {"gone", gone}});
   SpreadResult result = AwaitInForce(written.at("writes").as_array(), true);
   result.usage = Since(before);
+  result.opened = result.usage.opened;
   result.writes = written.at("backends").to_number<std::size_t>();
   result.publish_ms = Summarize({NumberAt(written, "publish_ms")});
   ExpectWithin(kChangeBound, result, "a zone's change was in force later than 5 s at a proxy");
--- a/bench/scale_rig/trial.h
+++ b/bench/scale_rig/trial.h
@@ -56,6 +56,7 @@
 };
 
 struct SpreadResult {
+  double opened = 0;  // connections, by all proxies, until all was in force
   std::size_t writes = 0,
               missing = 0;   // missing: writes not in force at a proxy in time, summed over proxies
   Distribution in_force_ms;  // of every write at every proxy
--- a/tests/bench/scale_digest_test.cpp
+++ b/tests/bench/scale_digest_test.cpp
@@ -91,6 +91,25 @@
   EXPECT_EQ(digest.value().count, 2u);
 }
 
+TEST(ScaleDigest, TakesAWholeListInPages) {
+  KeyIndex keys;
+  StateDigest digest(&keys), expected(&keys);
+  digest.Apply(Changes({Named("old"), Named("a")}, true));
+  const auto page = [](std::vector<Member> members, membership::Page number) {
+    Report report = Changes(std::move(members), true);
+    report.page = number;
+    return report;
+  };
+  // Read in part, and begun anew.
+  digest.Apply(page({Named("old")}, membership::Page::kFirst));
+  digest.Apply(page({Named("a", 2)}, membership::Page::kFirst));
+  digest.Apply(page({Named("b")}, membership::Page::kMiddle));
+  EXPECT_EQ(digest.value().count, 3u);  // what the list does not name goes at its end
+  digest.Apply(page({Named("c")}, membership::Page::kLast));
+  expected.Apply(Changes({Named("a", 2), Named("b"), Named("c")}, true));
+  EXPECT_EQ(digest.value(), expected.value());
+}
+
 TEST(ScaleDigest, FollowsRandomPutsAndDeletes) {
   std::mt19937 random(3);
   KeyIndex keys;
