--- a/bench/scale_rig/experiments.cpp
+++ b/bench/scale_rig/experiments.cpp
@@ -217,6 +217,18 @@
   TakeThroughFaults(trial, report);
 }
 
+// The same steps with two tiers of relays between; the endpoint that is cut off is a relay that stands still.
+void RunBehindRelays(TrialSettings settings, Report* report, bench::Checks* checks) {
+  if (!RelayProcesses::Available()) {
+    std::printf("no badgerrelay beside this program: the trial with relays is left out\n");
+    return;
+  }
+  settings.relays = true;
+  settings.name = Described(settings);
+  report->UsePrefix("relay_");
+  RunWhole(settings, 0, report, checks);
+}
+
 }  // namespace
 
 void RunSingle(const TrialSettings& given, Report* report, bench::Checks* checks) {
@@ -235,6 +247,7 @@
                    milliseconds(200), 10, checks);
   ReportBackendSlopes(by_backends, report);
   RunWhole(Sized(60, 500, 2, 2), 1, report, checks);
+  RunBehindRelays(Sized(60, 500, 2, 2), report, checks);
 }
 
 void RunFull(Report* report, bench::Checks* checks) {
@@ -254,6 +267,9 @@
   services.name = Described(services);
   report->UsePrefix("services_");
   RunWhole(services, 0, report, checks);
+  TrialSettings relays = Sized(1000, 2000, 0, 4);
+  relays.second_tier = 4;
+  RunBehindRelays(relays, report, checks);
 }
 
 void RunComparison(const TrialSettings& given, Report* report, bench::Checks* checks) {
--- a/bench/scale_rig/report.cpp
+++ b/bench/scale_rig/report.cpp
@@ -41,13 +41,16 @@
 }
 
 void PrintSpread(const std::string& name, const SpreadResult& result) {
-  std::printf("%s: %zu writes, in force at a proxy after p50 %.1f ms, p99 %.1f, worst %.1f (%zu counted, %zu missing);",
-              name.c_str(), result.writes, result.in_force_ms.p50, result.in_force_ms.p99, result.in_force_ms.worst,
-              result.in_force_ms.count, result.missing);
+  std::printf(
+      "%s: %zu writes, in force at a proxy after p50 %.1f ms, p99 %.1f, worst %.1f (%zu counted, %zu "
+      "missing);",
+      name.c_str(), result.writes, result.in_force_ms.p50, result.in_force_ms.p99, result.in_force_ms.worst,
+      result.in_force_ms.count, result.missing);
   std::printf(" at the last proxy p50 %.1f ms, worst %.1f; %.0f connections opened;", result.last_ms.p50,
               result.last_ms.worst, result.opened);
-  std::printf(" of this the rig: source's writing p50 %.1f ms, worst %.1f, hollow loops late by %.1f at most\n",
-              result.publish_ms.p50, result.publish_ms.worst, result.loop_late_ms);
+  std::printf(
+      " of this the rig: source's writing p50 %.1f ms, worst %.1f, hollow loops late by %.1f at most\n",
+      result.publish_ms.p50, result.publish_ms.worst, result.loop_late_ms);
 }
 
 void PrintUsage(const std::string& name, const Usage& usage, std::size_t proxies) {
