--- a/bench/slopes_membership.cpp
+++ b/bench/slopes_membership.cpp
@@ -2,6 +2,7 @@
 //
 // The ledger, and the way of a list and of a change from etcd's messages to it.
 #include <algorithm>
+#include <iterator>
 #include <random>
 
 #include "allocations.h"
@@ -24,7 +25,7 @@
 constexpr int kSizes[] = {1000, 3000, 10000, 30000, 100000, kBackends};
 constexpr int kRepetitions = 3;
 constexpr int kChanges = 200;
-constexpr int kPageSize = 1000;         // FollowerSettings::page_size
+constexpr int kPageSize = 250;          // FollowerSettings::page_size
 constexpr std::size_t kFrameBytes = 5;  // gRPC's prefix of a message
 constexpr std::uint64_t kCluster = 0x8e9e05c52164694dULL, kMember = 0xcf1d15c5d194b5c9ULL;
 
@@ -60,6 +61,33 @@
   return took * 1000 / kChanges;
 }
 
+struct PagesCost {
+  double cpu_ms = 0;
+  double longest_ms = 0;  // of one page
+  bool whole = false;
+};
+
+PagesCost TakeInPages(const std::vector<Member>& members) {
+  membership::Ledger ledger(LedgerSettings());
+  PagesCost cost;
+  for (std::size_t from = 0; from < members.size(); from += kPageSize) {
+    const std::size_t end = std::min(members.size(), from + kPageSize);
+    const auto at = [&](std::size_t i) { return members.begin() + static_cast<std::ptrdiff_t>(i); };
+    membership::Report report = ReportOf(1, true, {at(from), at(end)});
+    const bool last = end == members.size();
+    report.page = from == 0 ? (last ? membership::Page::kOnly : membership::Page::kFirst)
+                            : (last ? membership::Page::kLast : membership::Page::kMiddle);
+    std::vector<Member> changes;
+    const double before = ThreadCpuMs();
+    ledger.Take(Time(1000), report, &changes);
+    const double took = ThreadCpuMs() - before;
+    cost.cpu_ms += took;
+    cost.longest_ms = std::max(cost.longest_ms, took);
+  }
+  cost.whole = ledger.believed().size() == members.size();
+  return cost;
+}
+
 void Fill(pb::ResponseHeader* header, std::int64_t revision) {
   header->set_cluster_id(kCluster);
   header->set_member_id(kMember);
@@ -118,7 +146,7 @@
     Feed::Output output;
     if (const auto* page = std::get_if<etcd::Follower::SnapshotPage>(&action)) output = feed.Convert(*page);
     if (const auto* events = std::get_if<etcd::Follower::Events>(&action)) output = feed.Convert(*events);
-    if (output.report) members = std::move(output.report->members);
+    std::move(output.report.members.begin(), output.report.members.end(), std::back_inserter(members));
   }
   return members;
 }
@@ -136,8 +164,7 @@
     response.ParseFromString(page);
     etcd::Follower::Actions actions;
     rig.follower.RangeCompleted(Time(2), {}, std::move(response), &actions);
-    std::vector<Member> members = Reported(rig.feed, actions);
-    if (!members.empty()) listed.members = std::move(members);
+    for (Member& member : Reported(rig.feed, actions)) listed.members.push_back(std::move(member));
   }
   listed.cpu_ms = ThreadCpuMs() - before;
   return listed;
@@ -172,6 +199,8 @@
   Series whole("ledger: a whole list, CPU", "ms", "members");
   Series same("ledger: the same whole list again, CPU", "ms", "members");
   Series change("ledger: one change, CPU", "us", "members");
+  Series paged("ledger: a whole list in pages of 250, CPU", "ms", "members");
+  Series page("ledger: the longest of those pages, CPU", "ms", "members");
   bool holds_all = false;
   for (int repetition = 0; repetition < kRepetitions; ++repetition) {
     for (const int size : kSizes) {
@@ -195,11 +224,17 @@
       same.Add(size, ThreadCpuMs() - again);
       report.checks.Expect(changes.empty(), "ledger: an unchanged list is told on");
       change.Add(size, ChangeUs(ledger, size));
+      const PagesCost pages = TakeInPages(list.members);
+      report.checks.Expect(pages.whole, "ledger: a list in pages is not whole");
+      paged.Add(size, pages.cpu_ms);
+      page.Add(size, pages.longest_ms);
     }
   }
   report.Fit(memory, "ledger_bytes_per_member");
   report.Fit(whole, "ledger_whole_list_ms_per_member", Weighting::kAbsolute);
   report.Fit(same, "ledger_same_list_ms_per_member", Weighting::kAbsolute);
+  report.Fit(paged, "ledger_pages_ms_per_member", Weighting::kAbsolute);
+  report.Fit(page, "ledger_longest_page_ms_per_member", Weighting::kAbsolute);
   report.Fit(change, "ledger_change_us_per_member", Weighting::kAbsolute);
   report.Figure("ledger_change_us", change.Points().back().y, "ledger: one change at the largest size, us");
   report.Figure("ledger_takes_110000", holds_all ? 1 : 0,
--- a/bench/slopes_proxy.cpp
+++ b/bench/slopes_proxy.cpp
@@ -69,9 +69,9 @@
     operator_file::Etcd settings;
     settings.endpoints = {"127.0.0.1:1"};
     settings.authority = false;
-    membership_.emplace(io_, config_, settings, [this](const node::EndpointList& list) {
-      proxy_.UpdateList(node::ListKind::kDelta, list);
-    });
+    membership_.emplace(
+        io_, config_, settings,
+        [this](const node::EndpointList& list) { proxy_.UpdateList(node::ListKind::kDelta, list); }, [] {});
   }
 
   struct Cost {
