Call the operator's key heartbeat what it is; beat works on with a warning

`beat` in [regions] was a word of our own for what the field calls a heartbeat interval. The key is `heartbeat` now. A file with `beat` means what it meant, and badgerbridge and badgerctl check say in one line, with its place, that the key has another name now; both at once in one file are a problem. TableReader::Spelling does it for any key that is renamed; OperatorFile::warnings has the lines.

The test of the contradiction with the lease asks for the new name, beside it both names with their values and warnings.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -183,6 +183,7 @@
       operators = badgerbridge::operator_file::Load(path, problems);
       std::cerr << badgerbridge::operator_file::Lines(problems);
       if (!problems.empty()) return 1;
+      std::cerr << badgerbridge::operator_file::Lines(operators.warnings);
     }
     const badgerbridge::node::Environment environment = [](const char* name) { return std::getenv(name); };
     badgerbridge::app::Run(badgerbridge::node::ReadConfig(environment), operators, environment);
--- a/src/app/regions_source.cpp
+++ b/src/app/regions_source.cpp
@@ -40,7 +40,7 @@
   settings.classes = config.classes.size();
   settings.together = table.together;
   settings.ttl_s = static_cast<int>(table.lease.count() / 1000);
-  settings.beat = table.beat;
+  settings.beat = table.heartbeat;
   settings.rules.zones = table.zones.size();
   settings.rules.hold = table.hold;
   settings.rules.step = table.step;
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -39,7 +39,7 @@
       root->at("agent").is_array_of_tables() ? void(ctl::ParseContext(*text, path, problems))
                                              : void(fleet::ParseFleet(*text, path, problems));
     } else {
-      operator_file::Parse(*text, path, problems);
+      std::cerr << operator_file::Lines(operator_file::Parse(*text, path, problems).warnings);
     }
   }
   std::cerr << operator_file::Lines(problems);
--- a/src/operator/operator_file.cpp
+++ b/src/operator/operator_file.cpp
@@ -99,7 +99,7 @@
 
 constexpr std::size_t kMostZones = 64;
 
-Regions ReadRegions(TableReader& table) {
+Regions ReadRegions(TableReader& table, Problems& warnings) {
   Regions regions;
   NeedsEtcd(table);
   const std::string decide = table.Text("decide", "together");
@@ -129,10 +129,11 @@
   regions.lease = table.Duration("lease", regions.lease, milliseconds(1000), milliseconds(60000));
   if (regions.lease.count() % 1000 != 0)
     table.Report("lease", "is no whole number of seconds; \"3s\" would be right");
-  regions.beat = table.Duration("beat", regions.beat, milliseconds(50), milliseconds(10000));
-  if (regions.beat * 3 > regions.lease)
-    table.Report(table.Has("beat") ? "beat" : "lease",
-                 "contradicts the other time: three beats (" + FormatDuration(regions.beat) +
+  const std::string_view heartbeat = table.Spelling("heartbeat", "beat", warnings);
+  regions.heartbeat = table.Duration(heartbeat, regions.heartbeat, milliseconds(50), milliseconds(10000));
+  if (regions.heartbeat * 3 > regions.lease)
+    table.Report(table.Has(heartbeat) ? heartbeat : "lease",
+                 "contradicts the other time: three heartbeats (" + FormatDuration(regions.heartbeat) +
                      ") must fit into a lease (" + FormatDuration(regions.lease) + ")");
   regions.hold = table.Duration("hold", regions.hold, milliseconds(500), milliseconds(600000));
   regions.step = table.Duration("step", regions.step, milliseconds(100), milliseconds(60000));
@@ -179,7 +180,7 @@
   TableReader reader(*root, "", file, problems);
   if (const auto control = reader.Table("control")) out.control = ReadControl(*control);
   if (const auto etcd = reader.Table("etcd")) out.etcd = ReadEtcd(*etcd);
-  if (const auto regions = reader.Table("regions")) out.regions = ReadRegions(*regions);
+  if (const auto regions = reader.Table("regions")) out.regions = ReadRegions(*regions, out.warnings);
   if (out.regions) LinkRegions(reader, out);
   reader.Finish();
   return out;
--- a/src/operator/operator_file.h
+++ b/src/operator/operator_file.h
@@ -52,7 +52,7 @@
   bool together = true;  // false: by own evidence alone, and etcd is not asked
   std::string prefix = "/badgerbridge/regions/";
   std::vector<std::string> zones;  // in the order of the proxies' configuration
-  std::chrono::milliseconds lease{3000}, beat{250}, hold{5000}, step{400};
+  std::chrono::milliseconds lease{3000}, heartbeat{250}, hold{5000}, step{400};
   std::chrono::milliseconds round_trip{1};  // between two zones of which no link speaks
   int price_percent = 10;                   // of work that crosses, likewise
   std::vector<Link> links;
@@ -62,6 +62,7 @@
   std::optional<Control> control;
   std::optional<Etcd> etcd;
   std::optional<Regions> regions;
+  Problems warnings;  // former names of keys: they go on working
 };
 
 constexpr std::size_t kMostBytes = 1 << 20;
--- a/src/operator/table_reader.cpp
+++ b/src/operator/table_reader.cpp
@@ -119,6 +119,22 @@
   if (!Has(key)) Report(key, "is missing; give " + std::string(what));
 }
 
+std::string_view TableReader::Spelling(std::string_view key, std::string_view former, Problems& warnings) {
+  asked_.emplace(key);
+  const toml::node* node = table_.get(former);
+  if (!node) return key;
+  asked_.emplace(former);
+  if (Has(key)) {
+    Report(former, "is the former name of " + Name(key) + ", which stands here too; give that alone");
+    return key;
+  }
+  const toml::source_position at = node->source().begin;
+  warnings.push_back(
+      {file_, at.line, at.column,
+       "warning: " + Name(former) + " is now called " + Name(key) + "; the former name still works"});
+  return former;
+}
+
 std::string TableReader::Text(std::string_view key, std::string otherwise) {
   const toml::node* node = Find(key);
   if (!node) return otherwise;
--- a/src/operator/table_reader.h
+++ b/src/operator/table_reader.h
@@ -60,6 +60,10 @@
   std::unique_ptr<TableReader> Table(std::string_view key);
   std::vector<std::unique_ptr<TableReader>> Tables(std::string_view key);
 
+  // The spelling of a key that the file uses: `key`, or the one that it had before, which goes on working and
+  // adds one line to `warnings`. Both at once are a problem.
+  std::string_view Spelling(std::string_view key, std::string_view former, Problems& warnings);
+
   // At the key, or at the table if it is absent.
   void Report(std::string_view key, std::string text);
   void Require(std::string_view key, std::string_view what);
--- a/tests/operator/operator_file_test.cpp
+++ b/tests/operator/operator_file_test.cpp
@@ -163,9 +163,14 @@
   EXPECT_EQ(Check(head + "zones = [\"a\", \"a\"]\n"), "op.toml:3:9: regions.zones names a twice\n");
   EXPECT_EQ(Check(head + "zones = [\"a\"]\nlease = \"1500ms\"\n"),
             "op.toml:4:9: regions.lease is no whole number of seconds; \"3s\" would be right\n");
-  EXPECT_EQ(
-      Check(head + "zones = [\"a\"]\nbeat = \"2s\"\n"),
-      "op.toml:4:8: regions.beat contradicts the other time: three beats (2s) must fit into a lease (3s)\n");
+  EXPECT_EQ(Check(head + "zones = [\"a\"]\nheartbeat = \"2s\"\n"),
+            "op.toml:4:13: regions.heartbeat contradicts the other time: three heartbeats (2s) must fit into "
+            "a lease "
+            "(3s)\n");
+  EXPECT_EQ(Check(head + "zones = [\"a\"]\nlease = \"1s\"\nheartbeat = \"400ms\"\n"),
+            "op.toml:5:13: regions.heartbeat contradicts the other time: three heartbeats (400ms) must fit "
+            "into a lease "
+            "(1s)\n");
   EXPECT_EQ(Check(head + "zones = [\"a\", \"b\"]\n[[regions.link]]\nfrom = \"a\"\nto = \"c\"\n"),
             "op.toml:6:6: regions.link.to is \"c\", which zones does not name\n");
   EXPECT_EQ(
@@ -177,6 +182,38 @@
             std::string::npos);
 }
 
+TEST(OperatorFile, TheFormerNameOfAKeyWorksAndIsWarnedAbout) {
+  const std::string head = "[regions]\nendpoints = [\"127.0.0.1:1\"]\nzones = [\"a\"]\n";
+  const auto read = [&](const std::string& rest, std::string* problems_text) {
+    Problems problems;
+    OperatorFile file = Parse(head + rest, "op.toml", problems);
+    *problems_text = Lines(problems);
+    return file;
+  };
+  std::string problems;
+  OperatorFile file = read("heartbeat = \"300ms\"\n", &problems);
+  EXPECT_EQ(problems, "");
+  EXPECT_EQ(Lines(file.warnings), "");
+  EXPECT_EQ(file.regions->heartbeat.count(), 300);
+
+  file = read("beat = \"300ms\"\n", &problems);
+  EXPECT_EQ(problems, "");
+  EXPECT_EQ(
+      Lines(file.warnings),
+      "op.toml:4:8: warning: regions.beat is now called regions.heartbeat; the former name still works\n");
+  EXPECT_EQ(file.regions->heartbeat.count(), 300);
+
+  read("beat = \"2s\"\n", &problems);
+  EXPECT_EQ(problems,
+            "op.toml:4:8: regions.beat contradicts the other time: three heartbeats (2s) must fit into a "
+            "lease (3s)\n");
+  read("beat = \"300ms\"\nheartbeat = \"300ms\"\n", &problems);
+  EXPECT_EQ(
+      problems,
+      "op.toml:4:8: regions.beat is the former name of regions.heartbeat, which stands here too; give that "
+      "alone\n");
+}
+
 TEST(OperatorFile, RegionsReachEtcdAsMembershipDoes) {
   Problems problems;
   const OperatorFile file = Parse(
