--- a/src/app/regions_calls.cpp
+++ b/src/app/regions_calls.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 
 #include "membership/value.h"
+#include "regions/keys.h"
 
 namespace badgerbridge::app {
 
@@ -83,19 +84,19 @@
   return request;
 }
 
-pb::TxnRequest ToEtcd(const Member::Beat& call, const std::string& prefix, const std::string& name) {
+pb::TxnRequest ToEtcd(const Member::Heartbeat& call, const std::string& prefix, const std::string& name) {
   // Both branches do the same, but for the decision's value: only a comparison for equality tells an older
   // one too, as an etcd that was restored from a backup has it.
   pb::TxnRequest txn;
-  Require(&txn, prefix + "decision", pb::Compare::MOD, call.known);
-  pb::RequestOp decision = Get(prefix + "decision");
+  Require(&txn, prefix + regions::kDecisionKey, pb::Compare::MOD, call.known);
+  pb::RequestOp decision = Get(prefix + regions::kDecisionKey);
   const auto branch = [&](auto* ops) {
-    *ops->Add() = Put(prefix + "members/" + name, call.value, call.lease);
+    *ops->Add() = Put(prefix + regions::MemberKey(name), call.value, call.lease);
     *ops->Add() = decision;
-    *ops->Add() = Get(prefix + "decider");
-    *ops->Add() = GetBelow(prefix + "orders/");
-    *ops->Add() = call.all ? GetBelow(prefix + "members/") : Get(prefix + "members/" + name);
-    if (call.all) *ops->Add() = Get(prefix + "roll");
+    *ops->Add() = Get(prefix + regions::kDeciderKey);
+    *ops->Add() = GetBelow(prefix + regions::kOrdersKey);
+    *ops->Add() = call.all ? GetBelow(prefix + regions::kMembersKey) : Get(prefix + regions::MemberKey(name));
+    if (call.all) *ops->Add() = Get(prefix + regions::kRosterKey);
   };
   branch(txn.mutable_failure());
   decision.mutable_request_range()->set_keys_only(true);
@@ -103,19 +104,19 @@
   return txn;
 }
 
-pb::TxnRequest ToEtcd(const Member::Stand& call, const std::string& prefix, const std::string& name) {
+pb::TxnRequest ToEtcd(const Member::Campaign& call, const std::string& prefix, const std::string& name) {
   pb::TxnRequest txn;
-  Require(&txn, prefix + "decider", pb::Compare::CREATE, 0);
-  *txn.add_success() = Put(prefix + "decider", name, call.lease);
+  Require(&txn, prefix + regions::kDeciderKey, pb::Compare::CREATE, 0);
+  *txn.add_success() = Put(prefix + regions::kDeciderKey, name, call.lease);
   return txn;
 }
 
 pb::TxnRequest ToEtcd(const Member::Propose& call, const std::string& prefix) {
   pb::TxnRequest txn;
-  Require(&txn, prefix + "decider", pb::Compare::CREATE, call.decider_created);
-  Require(&txn, prefix + "decision", pb::Compare::MOD, call.decision_modified);
-  *txn.add_success() = Put(prefix + "decision", call.value, 0);
-  *txn.add_success() = Put(prefix + "roll", call.roll, 0);
+  Require(&txn, prefix + regions::kDeciderKey, pb::Compare::CREATE, call.decider_created);
+  Require(&txn, prefix + regions::kDecisionKey, pb::Compare::MOD, call.decision_modified);
+  *txn.add_success() = Put(prefix + regions::kDecisionKey, call.value, 0);
+  *txn.add_success() = Put(prefix + regions::kRosterKey, call.roster, 0);
   return txn;
 }
 
--- a/src/app/regions_calls.h
+++ b/src/app/regions_calls.h
@@ -20,8 +20,9 @@
 // Keys have `prefix` before them; `name` is the member's.
 etcdserverpb::LeaseGrantRequest ToEtcd(const Member::Grant& call);
 etcdserverpb::LeaseKeepAliveRequest ToEtcd(const Member::KeepAlive& call);
-etcdserverpb::TxnRequest ToEtcd(const Member::Beat& call, const std::string& prefix, const std::string& name);
-etcdserverpb::TxnRequest ToEtcd(const Member::Stand& call, const std::string& prefix,
+etcdserverpb::TxnRequest ToEtcd(const Member::Heartbeat& call, const std::string& prefix,
+                                const std::string& name);
+etcdserverpb::TxnRequest ToEtcd(const Member::Campaign& call, const std::string& prefix,
                                 const std::string& name);
 etcdserverpb::TxnRequest ToEtcd(const Member::Propose& call, const std::string& prefix);
 
--- a/src/app/regions_source.cpp
+++ b/src/app/regions_source.cpp
@@ -40,7 +40,7 @@
   settings.classes = config.classes.size();
   settings.together = table.together;
   settings.ttl_s = static_cast<int>(table.lease.count() / 1000);
-  settings.beat = table.heartbeat;
+  settings.heartbeat = table.heartbeat;
   settings.rules.zones = table.zones.size();
   settings.rules.hold = table.hold;
   settings.rules.step = table.step;
@@ -79,7 +79,7 @@
       zones_(config.zones),
       zone_(config.settings.zone),
       together_(settings.together),
-      call_timeout_(std::max<milliseconds>(settings.beat * 2, milliseconds(500))),
+      call_timeout_(std::max<milliseconds>(settings.heartbeat * 2, milliseconds(500))),
       cold_from_(config.settings.cold_from),
       warm_up_(config.settings.warm_up),
       on_shares_(std::move(on_shares)),
@@ -183,8 +183,9 @@
     reply = FromEtcd(status, response);
   } else {
     pb::TxnRequest txn;
-    if (const auto* beat = std::get_if<Member::Beat>(&call)) txn = ToEtcd(*beat, prefix_, name_);
-    if (const auto* stand = std::get_if<Member::Stand>(&call)) txn = ToEtcd(*stand, prefix_, name_);
+    if (const auto* heartbeat = std::get_if<Member::Heartbeat>(&call))
+      txn = ToEtcd(*heartbeat, prefix_, name_);
+    if (const auto* stand = std::get_if<Member::Campaign>(&call)) txn = ToEtcd(*stand, prefix_, name_);
     if (const auto* propose = std::get_if<Member::Propose>(&call)) txn = ToEtcd(*propose, prefix_);
     pb::TxnResponse response;
     const auto status =
@@ -229,7 +230,7 @@
                       {"decider", member_.decider()},
                       {"epoch", decision ? decision->epoch : 0},
                       {"calls", member_.calls()},
-                      {"last_trouble", member_.last_trouble()},
+                      {"last_trouble", member_.last_error()},
                       {"zones", std::move(zones)}};
 }
 
--- a/src/ctl/zones.cpp
+++ b/src/ctl/zones.cpp
@@ -18,6 +18,7 @@
 #include "membership/etcd_settings.h"
 #include "membership/value.h"
 #include "regions/evacuation.h"
+#include "regions/keys.h"
 #include "regions/links.h"
 
 namespace badgerbridge::ctl {
@@ -73,18 +74,17 @@
   for (const pb::KeyValue& kv : found.kvs()) {
     const std::string key = kv.key().substr(command.regions.prefix.size());
     std::string why;
-    if (key == "decision") {
+    if (key == regions::kDecisionKey) {
       common->decision = regions::DecodeDecision(kv.value(), zones, &why);
       common->decided_at = kv.mod_revision();
       if (!common->decision) co_return Failure{kSomeDidNot, "the decision can't be read: " + why};
-    } else if (key == "decider") {
+    } else if (key == regions::kDeciderKey) {
       common->decider = kv.value();
-    } else if (key.rfind("members/", 0) == 0) {
+    } else if (key.rfind(regions::kMembersKey, 0) == 0) {
       ++common->members;
     }
     for (std::size_t z = 0; z < zones; ++z) {
-      if (key == "orders/" + std::to_string(z))
-        common->orders[z] = kv.value().empty() ? "nobody" : kv.value();
+      if (key == regions::OrderKey(z)) common->orders[z] = kv.value().empty() ? "nobody" : kv.value();
     }
   }
   co_return Failure{};
@@ -209,7 +209,7 @@
     if (!status.ok()) co_return Of(status);
     pb::TxnRequest txn;
     pb::Compare* compare = txn.add_compare();
-    compare->set_key(KeyOf(command, "orders/" + std::to_string(*zone)));
+    compare->set_key(KeyOf(command, regions::OrderKey(*zone)));
     compare->set_result(pb::Compare::EQUAL);
     compare->set_target(pb::Compare::CREATE);
     compare->set_create_revision(0);
@@ -272,7 +272,7 @@
   const int code =
       Converse(command, err, [&](etcd::Client& client, milliseconds timeout) -> asio::awaitable<Failure> {
         pb::DeleteRangeRequest request;
-        request.set_key(KeyOf(command, "orders/" + std::to_string(*zone)));
+        request.set_key(KeyOf(command, regions::OrderKey(*zone)));
         pb::DeleteRangeResponse response;
         const etcd::Status status =
             co_await client.Call("/etcdserverpb.KV/DeleteRange", request, &response, timeout);
@@ -301,7 +301,7 @@
     std::int64_t at = 0;  // the newest
     while (static_cast<int>(past.size()) < most) {
       pb::RangeRequest range;
-      range.set_key(KeyOf(command, "decision"));
+      range.set_key(KeyOf(command, regions::kDecisionKey));
       range.set_revision(at);
       pb::RangeResponse found;
       const etcd::Status status = co_await client.Call("/etcdserverpb.KV/Range", range, &found, timeout);
--- a/src/lab/etcd.cpp
+++ b/src/lab/etcd.cpp
@@ -3,6 +3,8 @@
 
 #include <utility>
 
+#include "regions/keys.h"
+
 namespace badgerbridge::lab {
 
 using fordlb::Duration;
@@ -46,7 +48,7 @@
 }
 
 void EtcdModel::Order(int zone, const std::string& by) {
-  const std::string key = "orders/" + std::to_string(zone);
+  const std::string key = regions::kOrdersKey + std::to_string(zone);
   if (!by.empty()) return Write(key, by, 0);
   ++revision_;
   keys_.erase(key);
@@ -77,35 +79,35 @@
   } else if (const auto* keep = std::get_if<Member::KeepAlive>(&call)) {
     if (!alive(keep->lease)) return reply;
     leases_[keep->lease].due = now + leases_[keep->lease].ttl;
-  } else if (const auto* beat = std::get_if<Member::Beat>(&call)) {
-    if (!alive(beat->lease)) return reply;
-    Write("members/" + member, beat->value, beat->lease);
-    if (!beat->all) Read("members/" + member, false, &reply);
-    const auto decision = keys_.find("decision");
-    if (decision != keys_.end() && decision->second.modified == beat->known) {
+  } else if (const auto* heartbeat = std::get_if<Member::Heartbeat>(&call)) {
+    if (!alive(heartbeat->lease)) return reply;
+    Write(regions::MemberKey(member), heartbeat->value, heartbeat->lease);
+    if (!heartbeat->all) Read(regions::MemberKey(member), false, &reply);
+    const auto decision = keys_.find(regions::kDecisionKey);
+    if (decision != keys_.end() && decision->second.modified == heartbeat->known) {
       reply.kvs.push_back(decision->second);
       reply.kvs.back().value.clear();
     } else {
-      Read("decision", false, &reply);
+      Read(regions::kDecisionKey, false, &reply);
     }
-    Read("decider", false, &reply);
-    Read("orders/", true, &reply);
-    if (beat->all) {
-      Read("members/", true, &reply);
-      Read("roll", false, &reply);
+    Read(regions::kDeciderKey, false, &reply);
+    Read(regions::kOrdersKey, true, &reply);
+    if (heartbeat->all) {
+      Read(regions::kMembersKey, true, &reply);
+      Read(regions::kRosterKey, false, &reply);
     }
-  } else if (const auto* stand = std::get_if<Member::Stand>(&call)) {
-    if (!alive(stand->lease)) return reply;
-    reply.held = keys_.count("decider") == 0;
-    if (reply.held) Write("decider", member, stand->lease);
+  } else if (const auto* campaign = std::get_if<Member::Campaign>(&call)) {
+    if (!alive(campaign->lease)) return reply;
+    reply.held = keys_.count(regions::kDeciderKey) == 0;
+    if (reply.held) Write(regions::kDeciderKey, member, campaign->lease);
   } else if (const auto* propose = std::get_if<Member::Propose>(&call)) {
-    const auto decider = keys_.find("decider");
-    const auto decision = keys_.find("decision");
+    const auto decider = keys_.find(regions::kDeciderKey);
+    const auto decision = keys_.find(regions::kDecisionKey);
     reply.held = decider != keys_.end() && decider->second.created == propose->decider_created &&
                  (decision == keys_.end() ? 0 : decision->second.modified) == propose->decision_modified;
     if (reply.held) {
-      Write("decision", propose->value, 0);
-      Write("roll", propose->roll, 0);
+      Write(regions::kDecisionKey, propose->value, 0);
+      Write(regions::kRosterKey, propose->roster, 0);
     }
   }
   reply.revision = revision_;
--- a/src/lab/members.cpp
+++ b/src/lab/members.cpp
@@ -17,12 +17,12 @@
 }  // namespace
 
 struct Members::One {
-  std::uint64_t life = 0;
+  std::uint64_t incarnation = 0;
   std::unique_ptr<regions::Member> member;  // none: its proxy is dead
   std::unique_ptr<Meter> meter;             // of one that fails over by itself
   std::optional<regions::Member::Call> call;
   regions::Member::Reply reply;
-  std::vector<double> told, warm;
+  std::vector<double> last_shares, warm;
   TimePoint left_until{};
   int zone = 0;
 };
@@ -37,9 +37,9 @@
 void Members::Start(TimePoint now, std::size_t proxy) {
   One& one = *all_[proxy];
   one.zone = static_cast<int>(proxy) % model_.zones;
-  ++one.life;
+  ++one.incarnation;
   one.call.reset();
-  one.told.clear();
+  one.last_shares.clear();
   const auto zones = static_cast<std::size_t>(model_.zones);
   regions::MemberSettings settings;
   settings.name = "n" + std::to_string(proxy);
@@ -64,29 +64,29 @@
   if (model_.decision.decide == RegionsModel::Decide::kCliff) {
     one.meter = std::make_unique<Meter>(one.zone, zones, model_.classes.size());
   }
-  one.member = std::make_unique<regions::Member>(settings, seed_ * 7919 + proxy * 31 + one.life);
+  one.member = std::make_unique<regions::Member>(settings, seed_ * 7919 + proxy * 31 + one.incarnation);
   if (!one.warm.empty()) one.member->Listed(one.warm);
-  queue_.At(now, this, kAsk, proxy, one.life);
+  queue_.At(now, this, kAsk, proxy, one.incarnation);
 }
 
 void Members::Stop(std::size_t proxy) {
-  ++all_[proxy]->life;
+  ++all_[proxy]->incarnation;
   all_[proxy]->member.reset();
   all_[proxy]->meter.reset();
 }
 
 const regions::Member* Members::member(std::size_t proxy) const { return all_[proxy]->member.get(); }
 
-void Members::On(TimePoint now, std::uint32_t what, std::uint64_t proxy, std::uint64_t life) {
+void Members::On(TimePoint now, std::uint32_t what, std::uint64_t proxy, std::uint64_t incarnation) {
   One& one = *all_[proxy];
   // What a dead one has sent still arrives.
   if (what == kReach) {
-    if (!one.call || one.life != life) return;
+    if (!one.call || one.incarnation != incarnation) return;
     one.reply = down_ ? regions::Member::Reply{} : etcd_.Do(now, "n" + std::to_string(proxy), *one.call);
     const Duration back = down_ ? Duration(500) : Duration(model_.decision.etcd.Draw(random_));
-    return queue_.At(now + back, this, kReply, proxy, life);
+    return queue_.At(now + back, this, kReply, proxy, incarnation);
   }
-  if (one.life != life || !one.member) return;
+  if (one.incarnation != incarnation || !one.member) return;
   if (what == kReply) {
     one.call.reset();
     one.member->Done(now, one.reply);
@@ -98,14 +98,14 @@
   One& one = *all_[proxy];
   if (model_.decision.decide == RegionsModel::Decide::kCliff) {
     Tell(now, proxy);
-    return queue_.At(now + Duration(250), this, kAsk, proxy, one.life);
+    return queue_.At(now + Duration(250), this, kAsk, proxy, one.incarnation);
   }
   if (!one.call) {
     one.call = one.member->Next(now);
     if (one.call) {
-      queue_.At(now + Duration(model_.decision.etcd.Draw(random_)), this, kReach, proxy, one.life);
+      queue_.At(now + Duration(model_.decision.etcd.Draw(random_)), this, kReach, proxy, one.incarnation);
     } else {
-      queue_.At(std::max(one.member->wake(), now + Duration(1)), this, kAsk, proxy, one.life);
+      queue_.At(std::max(one.member->wake(), now + Duration(1)), this, kAsk, proxy, one.incarnation);
     }
   }
   Tell(now, proxy);
@@ -114,16 +114,16 @@
 void Members::Tell(TimePoint now, std::size_t proxy) {
   One& one = *all_[proxy];
   auto shares = one.meter ? Cliff(now, one) : one.member->Shares(now);
-  if (shares == one.told) return;
-  one.told = shares;
+  if (shares == one.last_shares) return;
+  one.last_shares = shares;
   on_shares_(now, proxy, std::move(shares));
 }
 
 // The usual way of a proxy by itself: all of its own zone, or none of it.
 std::vector<double> Members::Cliff(TimePoint now, One& one) {
   const auto home = static_cast<std::size_t>(one.zone);
-  const regions::ZoneWord word = one.meter->Take(now, 0).zones[home];
-  if (word.attempts >= 5 && (word.bad > kCliffBad * word.attempts || word.slow > kCliffSlow))
+  const regions::ZoneReport report = one.meter->Take(now, 0).zones[home];
+  if (report.attempts >= 5 && (report.bad > kCliffBad * report.attempts || report.slow > kCliffSlow))
     one.left_until = now + kCliffFor;
   const bool left = now < one.left_until;
   std::vector<double> shares(static_cast<std::size_t>(model_.zones), left ? regions::kFree : 0);
--- a/src/regions/decider.cpp
+++ b/src/regions/decider.cpp
@@ -29,34 +29,34 @@
     });
     order_.push_back(std::move(all));
   }
-  Begin();
+  Reset();
 }
 
-void Decider::Begin() {
-  started_ = false;
-  written_at_ = looked_at_ = began_ = waits_since_ = TimePoint{};
-  cases_.assign(rules_.zones, Case{});
+void Decider::Reset() {
+  recovered_ = false;
+  written_at_ = observed_at_ = began_ = waits_since_ = TimePoint{};
+  zones_.assign(rules_.zones, ZoneStatus{});
   pairs_.assign(rules_.zones, std::vector<Pair>(rules_.zones));
-  lives_.clear();
-  gone_.clear();
+  incarnations_.clear();
+  lost_members_.clear();
   history_.clear();
-  folded_ = false;
+  merged_ = false;
 }
 
-void Decider::Start(TimePoint now, const Snapshot& snapshot) {
-  started_ = true;
+void Decider::Recover(TimePoint now, const Snapshot& snapshot) {
+  recovered_ = true;
   if (!snapshot.decision) return;  // nobody can go by what never was
   const Decision& d = *snapshot.decision;
   history_.push_back({0, d.ceiling, d.standby});
   history_.push_back({d.epoch, SlicesOf(d), d.standby});
   counted_epoch_ = d.epoch;
   for (std::size_t z = 0; z < rules_.zones; ++z) {
-    cases_[z].state = d.zones[z].state;
-    cases_[z].shown = d.zones[z].shown;
-    cases_[z].limit = d.zones[z].limit;
-    cases_[z].why = d.zones[z].why;
-    cases_[z].stepped = now;
-    cases_[z].asked = cases_[z].peak = d.zones[z].demand;
+    zones_[z].state = d.zones[z].state;
+    zones_[z].shown = d.zones[z].shown;
+    zones_[z].limit = d.zones[z].limit;
+    zones_[z].why = d.zones[z].why;
+    zones_[z].stepped = now;
+    zones_[z].asked = zones_[z].peak = d.zones[z].demand;
   }
   CountVanished(now, snapshot);
 }
@@ -81,43 +81,47 @@
   if (snapshot.decision && counted_epoch_ <= oldest && !starting) next->admitted = before.counted;
   if (HasNewMembers(snapshot, before)) next->counted = snapshot.revision;
   next->returned.clear();
-  for (const Word& word : snapshot.words) {
-    if (word.created <= next->admitted) continue;
-    const Decision::Returned one{word.member, word.created};
+  for (const MemberReport& report : snapshot.reports) {
+    if (report.created <= next->admitted) continue;
+    const Decision::Returned one{report.member, report.created};
     const bool before_too =
         std::find(before.returned.begin(), before.returned.end(), one) != before.returned.end();
-    if (before_too || lives_.at({word.member, word.created}).inherits) next->returned.push_back(one);
+    if (before_too || incarnations_.at({report.member, report.created}).inherits)
+      next->returned.push_back(one);
   }
-  next->roll.clear();
-  for (const Word& word : snapshot.words) next->roll.push_back({word.member, word.evidence.zone});
-  for (const Gone& gone : gone_) {
-    if (now < gone.until) next->roll.push_back({gone.member, gone.zone});
+  next->roster.clear();
+  for (const MemberReport& report : snapshot.reports)
+    next->roster.push_back({report.member, report.evidence.zone});
+  for (const LostMember& gone : lost_members_) {
+    if (now < gone.until) next->roster.push_back({gone.member, gone.zone});
   }
 }
 
 bool Decider::HasNewMembers(const Snapshot& snapshot, const Decision& before) const {
   bool fresh = !snapshot.decision;
-  for (const Word& word : snapshot.words) fresh |= word.created > before.counted;
+  for (const MemberReport& report : snapshot.reports) fresh |= report.created > before.counted;
   return fresh;
 }
 
 // Each zone's line of the decision.
-void Decider::Describe(TimePoint now, const Snapshot& snapshot, const std::vector<Seen>& seen,
+void Decider::Describe(TimePoint now, const Snapshot& snapshot, const std::vector<Observation>& seen,
                        const std::vector<double>& demand, Decision* next) const {
   std::vector<int> members(rules_.zones);
-  for (const Word& word : snapshot.words) ++members[static_cast<std::size_t>(word.evidence.zone)];
+  for (const MemberReport& report : snapshot.reports)
+    ++members[static_cast<std::size_t>(report.evidence.zone)];
   std::vector<int> lost(rules_.zones);
-  for (const Gone& gone : gone_) ++(now < gone.until ? members : lost)[static_cast<std::size_t>(gone.zone)];
+  for (const LostMember& gone : lost_members_)
+    ++(now < gone.until ? members : lost)[static_cast<std::size_t>(gone.zone)];
   for (std::size_t z = 0; z < rules_.zones; ++z) {
     Decision::Zone& zone = next->zones[z];
     zone.members = members[z];
     zone.lost = lost[z];
-    zone.state = cases_[z].state;
-    zone.shown = cases_[z].shown;
-    zone.limit = cases_[z].limit;
+    zone.state = zones_[z].state;
+    zone.shown = zones_[z].shown;
+    zone.limit = zones_[z].limit;
     zone.carried = seen[z].served;
     zone.demand = demand[z];
-    zone.why = cases_[z].why;
+    zone.why = zones_[z].why;
   }
 }
 
@@ -130,7 +134,7 @@
   std::erase_if(without.returned, [&](const Decision::Returned& one) {
     return std::find(before.returned.begin(), before.returned.end(), one) == before.returned.end();
   });
-  Allocate(demand, Hold(now, snapshot, without), &without);
+  Allocate(demand, HolderGroups(now, snapshot, without), &without);
   if (waits_since_ == TimePoint{}) waits_since_ = now;
   if (FallsBack(without, *next) && now - waits_since_ < kLongestWait) {
     *next = std::move(without);
@@ -140,28 +144,29 @@
 }
 
 std::optional<Decision> Decider::Decide(TimePoint now, const Snapshot& snapshot, const std::string& self) {
-  if (!started_) Start(now, snapshot);
-  Follow(now, snapshot);
-  const std::uint64_t oldest = FollowEpochs(now, snapshot);
-  const std::vector<Seen> seen = Look(now, snapshot);
+  if (!recovered_) Recover(now, snapshot);
+  TrackMembers(now, snapshot);
+  const std::uint64_t oldest = TrackEpochs(now, snapshot);
+  const std::vector<Observation> seen = Observe(now, snapshot);
   for (std::size_t z = 0; z < rules_.zones; ++z)
-    Judge(now, z, seen[z], z < snapshot.evacuated.size() ? snapshot.evacuated[z] : std::string());
-  const double elapsed = looked_at_ == TimePoint{} ? 0 : (now - looked_at_).count();
-  looked_at_ = now;
+    UpdateZone(now, z, seen[z], z < snapshot.evacuated.size() ? snapshot.evacuated[z] : std::string());
+  const double elapsed = observed_at_ == TimePoint{} ? 0 : (now - observed_at_).count();
+  observed_at_ = now;
   GiveFirstRoom(snapshot);
 
   const Decision before = Before(snapshot);
   Decision next = before;
   next.decider = self;
   // Beyond every epoch that anybody has gone by: a record from a backup may be older.
-  for (const Word& word : snapshot.words) next.epoch = std::max(next.epoch, word.evidence.epoch);
+  for (const MemberReport& report : snapshot.reports)
+    next.epoch = std::max(next.epoch, report.evidence.epoch);
   ++next.epoch;
   Count(now, snapshot, before, oldest, &next);
   const std::vector<double> demand = Demand(snapshot);
   for (std::size_t z = 0; z < rules_.zones; ++z)
-    cases_[z].peak = std::max(demand[z], cases_[z].peak * std::exp2(-elapsed / kPeakMemory.count()));
+    zones_[z].peak = std::max(demand[z], zones_[z].peak * std::exp2(-elapsed / kPeakMemory.count()));
   Describe(now, snapshot, seen, demand, &next);
-  Allocate(demand, Hold(now, snapshot, next), &next);
+  Allocate(demand, HolderGroups(now, snapshot, next), &next);
   if (next.admitted != before.admitted || next.returned != before.returned)
     AwaitRoom(now, snapshot, before, demand, &next);
   if (snapshot.decision && !Worthwhile(now, before, next)) return std::nullopt;
--- a/src/regions/decider.h
+++ b/src/regions/decider.h
@@ -35,16 +35,16 @@
   Duration step{400};       // between two steps of what a zone earns
 };
 
-struct Word {
+struct MemberReport {
   std::string member;
-  std::int64_t created = 0;  // revision at which its key was made: which of its lives
+  std::int64_t created = 0;  // revision at which its key was made: which of its incarnations
   Evidence evidence;
 };
 
 // All keys, as of one revision.
 struct Snapshot {
   std::int64_t revision = 0;
-  std::vector<Word> words;
+  std::vector<MemberReport> reports;
   std::optional<Decision> decision;
   std::vector<std::string> evacuated;  // by zone: by whom it is ordered; empty: it is not
 };
@@ -54,7 +54,7 @@
   explicit Decider(Rules rules);
 
   // The lease has just been won: what was known from an earlier time does not count.
-  void Begin();
+  void Reset();
 
   // What is to be written over the snapshot's decision, if anything. Its epoch is one more. If it is not
   // written, nothing of it counts: the next call begins from what is there.
@@ -63,13 +63,13 @@
   std::size_t epochs() const { return history_.size(); }  // that are kept apart; bounded
 
  private:
-  struct Seen {  // of a zone, over all members' words
+  struct Observation {  // of a zone, over all members' words
     double attempts = 0, served = 0, slow = 1, latency = 0, used = -1;
-    double cold = 1;                          // times that it is slower for the converters that just started
-    double warm = 0;                          // warm converters' worth, as members' lists have it
-    int words = 0, failing = 0, slow_at = 0;  // places that speak of it, say that it fails, that it is slow
-    bool well_at_home = false;                // by the word of its own members
-    std::string who;                          // the places that speak against it, for people
+    double cold = 1;  // times that it is slower for the converters that just started
+    double warm = 0;  // warm converters' worth, as members' lists have it
+    int origins = 0, failing = 0, slow_at = 0;  // places that speak of it, say that it fails, that it is slow
+    bool well_at_home = false;                  // by the word of its own members
+    std::string who;                            // the places that speak against it, for people
   };
   struct Pair {
     double attempts = 0, bad = 0, slow = 0, timed = 0;
@@ -78,7 +78,7 @@
     TimePoint until{};
     Duration wait{0};
   };
-  struct Case {  // a zone's
+  struct ZoneStatus {  // a zone's
     ZoneState state = ZoneState::kSound;
     double shown = 0, limit = 0;
     double each = 0;               // of it, by one warm converter's worth; 0: not known
@@ -91,14 +91,14 @@
     bool well = false;
     std::string why;
   };
-  struct Life {
+  struct Incarnation {
     int zone = 0;
     std::uint64_t epoch = 0;
     double demand = 0;
     bool inherits = false;          // one of its name was counted when it came
     std::uint64_t admitted_at = 0;  // the epoch from which on it may use grants; 0: it may not, yet
   };
-  struct Gone {
+  struct LostMember {
     std::string member;  // empty: not known; only that so many of its zone are missing
     int zone = 0;
     std::uint64_t epoch = 0;
@@ -106,13 +106,13 @@
     TimePoint until{}, forgotten{};  // grants; standby
     std::vector<double> standby;     // the most that its zone's members might stand by with, by receiver
   };
-  struct Past {
+  struct EpochGrants {
     std::uint64_t epoch = 0;
     Matrix slices;  // of one member
     Matrix standby;
   };
   // Members that may go by some epoch from `since` on.
-  struct Holders {
+  struct HolderGroup {
     std::size_t zone = 0;
     std::uint64_t since = 0;
     bool there = false;  // they will go by what is decided next, too
@@ -125,48 +125,49 @@
   struct Needs;
 
   // decider.cpp: the next decision.
-  void Start(TimePoint now, const Snapshot& snapshot);
+  void Recover(TimePoint now, const Snapshot& snapshot);
   Decision Before(const Snapshot& snapshot) const;
   void Count(TimePoint now, const Snapshot& snapshot, const Decision& before, std::uint64_t oldest,
              Decision* next);
   bool HasNewMembers(const Snapshot& snapshot, const Decision& before) const;
-  void Describe(TimePoint now, const Snapshot& snapshot, const std::vector<Seen>& seen,
+  void Describe(TimePoint now, const Snapshot& snapshot, const std::vector<Observation>& seen,
                 const std::vector<double>& demand, Decision* next) const;
   void AwaitRoom(TimePoint now, const Snapshot& snapshot, const Decision& before,
                  const std::vector<double>& demand, Decision* next);
 
   // decider_members.cpp: who is there, and who has vanished.
   void CountVanished(TimePoint now, const Snapshot& snapshot);
-  void Follow(TimePoint now, const Snapshot& snapshot);
-  static bool Admits(const Decision& decision, const Word& word);
-  std::vector<Holders> Hold(TimePoint now, const Snapshot& snapshot, const Decision& next) const;
+  void TrackMembers(TimePoint now, const Snapshot& snapshot);
+  static bool Admits(const Decision& decision, const MemberReport& report);
+  std::vector<HolderGroup> HolderGroups(TimePoint now, const Snapshot& snapshot, const Decision& next) const;
   std::vector<double> Demand(const Snapshot& snapshot);
 
   // decider_epochs.cpp: the epochs that may be in force.
-  std::uint64_t FollowEpochs(TimePoint now, const Snapshot& snapshot);
-  void Fold();
+  std::uint64_t TrackEpochs(TimePoint now, const Snapshot& snapshot);
+  void MergeOldestEpochs();
   Matrix Ceiling() const;
   Matrix CeilingWith(const Decision& next);
   std::vector<double> StandbyOf(int zone) const;
   std::vector<Matrix> MostSince() const;
-  std::size_t FirstOf(const Holders& group) const;
-  double MostOf(const std::vector<Matrix>& since, const Holders& group, std::size_t r) const;
-  double LeastOf(const std::vector<Matrix>& since, const Holders& group, std::size_t r) const;
+  std::size_t FirstOf(const HolderGroup& group) const;
+  double MostOf(const std::vector<Matrix>& since, const HolderGroup& group, std::size_t r) const;
+  double LeastOf(const std::vector<Matrix>& since, const HolderGroup& group, std::size_t r) const;
 
   // decider_zones.cpp: what members see of each zone, its state and its limit.
-  Sums AddUp(const Snapshot& snapshot, std::vector<Seen>* seen) const;
-  void LookAtPair(TimePoint at, std::size_t o, std::size_t r, int members, Pair* pair, Seen* seen) const;
-  std::vector<Seen> Look(TimePoint now, const Snapshot& snapshot);
-  void Learn(TimePoint now, Case* zone, const Seen& seen) const;
-  static double Able(const Case& zone);
-  static Signs SignsOf(const Case& zone, const Seen& seen);
-  static void Enter(TimePoint now, ZoneState state, double limit, std::string why, Case* zone);
-  static std::string WordOf(const Seen& seen, const char* what);
-  void Judge(TimePoint now, std::size_t zone, const Seen& seen, const std::string& evacuated);
-  void JudgeSound(TimePoint now, const Seen& seen, const Signs& signs, Case* zone) const;
-  void JudgeLimping(TimePoint now, const Seen& seen, const Signs& signs, Case* zone) const;
-  static void JudgeDark(TimePoint now, const Seen& seen, const Signs& signs, Case* zone);
-  void JudgeReturning(TimePoint now, const Seen& seen, const Signs& signs, Case* zone) const;
+  Sums AddUp(const Snapshot& snapshot, std::vector<Observation>* seen) const;
+  void ObservePair(TimePoint at, std::size_t o, std::size_t r, int members, Pair* pair,
+                   Observation* seen) const;
+  std::vector<Observation> Observe(TimePoint now, const Snapshot& snapshot);
+  void LearnCapacity(TimePoint now, ZoneStatus* zone, const Observation& seen) const;
+  static double Capacity(const ZoneStatus& zone);
+  static Signs SignsOf(const ZoneStatus& zone, const Observation& seen);
+  static void EnterState(TimePoint now, ZoneState state, double limit, std::string why, ZoneStatus* zone);
+  static std::string Reason(const Observation& seen, const char* what);
+  void UpdateZone(TimePoint now, std::size_t zone, const Observation& seen, const std::string& evacuated);
+  void UpdateSound(TimePoint now, const Observation& seen, const Signs& signs, ZoneStatus* zone) const;
+  void UpdateLimping(TimePoint now, const Observation& seen, const Signs& signs, ZoneStatus* zone) const;
+  static void UpdateDark(TimePoint now, const Observation& seen, const Signs& signs, ZoneStatus* zone);
+  void UpdateReturning(TimePoint now, const Observation& seen, const Signs& signs, ZoneStatus* zone) const;
   void GiveFirstRoom(const Snapshot& snapshot);
 
   // decider_grants.cpp: what each origin may ask of each receiver.
@@ -175,23 +176,24 @@
   // Gives `want` of each origin to the nearest receivers that have room, and takes it off `room`.
   Matrix Spread(std::vector<double> want, std::vector<double>* room) const;
   Matrix Standby(const std::vector<double>& demand, double all, const std::vector<double>& room) const;
-  void Allocate(const std::vector<double>& demand, const std::vector<Holders>& holders, Decision* next);
+  void Allocate(const std::vector<double>& demand, const std::vector<HolderGroup>& holders, Decision* next);
   void Grow(const Matrix& wanted, const std::vector<double>& home, const std::vector<double>& most,
-            const std::vector<Holders>& holders, Decision* next) const;
+            const std::vector<HolderGroup>& holders, Decision* next) const;
   void GrowAt(std::size_t r, const Matrix& wanted, double home, double most, const std::vector<Matrix>& since,
-              const std::vector<Holders>& holders, const std::vector<int>& vanished, Decision* next) const;
+              const std::vector<HolderGroup>& holders, const std::vector<int>& vanished,
+              Decision* next) const;
   bool FallsBack(const Decision& other, const Decision& next) const;
   bool Worthwhile(TimePoint now, const Decision& before, const Decision& next) const;
 
   const Rules rules_;
-  bool started_ = false;
-  TimePoint written_at_{}, looked_at_{}, began_{}, waits_since_{};
-  std::vector<Case> cases_;
+  bool recovered_ = false;
+  TimePoint written_at_{}, observed_at_{}, began_{}, waits_since_{};
+  std::vector<ZoneStatus> zones_;
   std::vector<std::vector<Pair>> pairs_;  // by origin and receiver
-  std::map<std::pair<std::string, std::int64_t>, Life> lives_;
-  std::vector<Gone> gone_;                       // a vanished member each, until it is forgotten
-  std::deque<Past> history_;                     // of the epochs that may be in force
-  bool folded_ = false;                          // its front is several of them
+  std::map<std::pair<std::string, std::int64_t>, Incarnation> incarnations_;
+  std::vector<LostMember> lost_members_;         // a vanished member each, until it is forgotten
+  std::deque<EpochGrants> history_;              // of the epochs that may be in force
+  bool merged_ = false;                          // its front is several of them
   std::uint64_t counted_epoch_ = 0;              // the first with the record's `counted`
   std::vector<std::vector<std::size_t>> order_;  // receivers of each origin, the nearest first
 };
--- a/src/regions/decider_grants.cpp
+++ b/src/regions/decider_grants.cpp
@@ -70,7 +70,7 @@
   const std::size_t n = rules_.zones;
   std::vector<double> kept(n);
   Matrix deaf(n);
-  for (const Gone& gone : gone_) {
+  for (const LostMember& gone : lost_members_) {
     const auto o = static_cast<std::size_t>(gone.zone);
     for (std::size_t r = 0; r < n; ++r) {
       double& sum = deaf.at(o, r);
@@ -86,13 +86,13 @@
   const std::size_t n = rules_.zones;
   Needs needs(n);
   for (std::size_t z = 0; z < n; ++z) {
-    const Case& zone = cases_[z];
+    const ZoneStatus& zone = zones_[z];
     const bool free = zone.state == ZoneState::kSound && !pairs_[z][z].shut;
-    const double able = std::min(zone.limit, std::max(Able(zone) * kBeyond, 0.0));
+    const double able = std::min(zone.limit, std::max(Capacity(zone) * kBeyond, 0.0));
     const double limit = pairs_[z][z].shut ? kPairTrial * able : able;
     needs.home[z] = std::min(demand[z], limit);
     // Who was stopped for a moment says for a second that it is asked for little.
-    const double peak = cases_[z].peak;
+    const double peak = zones_[z].peak;
     needs.home_most[z] = std::min(demand[z] < kDip * peak ? peak : demand[z], able);
     needs.wanted.at(z, z) = free ? kFree : needs.home[z];
     needs.room[z] = zone.state == ZoneState::kSound ? std::max(0.0, able - needs.home_most[z] - kept[z]) : 0;
@@ -120,7 +120,7 @@
   return standby;
 }
 
-void Decider::Allocate(const std::vector<double>& demand, const std::vector<Holders>& holders,
+void Decider::Allocate(const std::vector<double>& demand, const std::vector<HolderGroup>& holders,
                        Decision* next) {
   const std::size_t n = rules_.zones;
   const std::vector<double> kept = KeptByLost(*next);
@@ -132,15 +132,15 @@
       if (o == r) continue;
       double grant = given.at(o, r) + Optional(demand, all, needs.room, o, r);
       if (pairs_[o][r].shut) grant = 0;
-      if (cases_[r].state != ZoneState::kSound) grant = 0;
+      if (zones_[r].state != ZoneState::kSound) grant = 0;
       needs.wanted.at(o, r) = grant;
     }
   }
   // A zone that is not sound would keep back, for those that have lost touch, all that it may be tried with.
   std::vector<double> most(n);
   for (std::size_t r = 0; r < n; ++r)
-    most[r] = std::max(0.0, std::min(cases_[r].limit, kBeyond * Able(cases_[r])) -
-                                (cases_[r].state == ZoneState::kSound ? kept[r] : 0));
+    most[r] = std::max(0.0, std::min(zones_[r].limit, kBeyond * Capacity(zones_[r])) -
+                                (zones_[r].state == ZoneState::kSound ? kept[r] : 0));
   next->standby = Standby(demand, all, needs.room);
   Grow(needs.wanted, needs.home_most, most, holders, next);
 }
@@ -161,11 +161,11 @@
 // Of what is wanted, as much as fits under `most` for each receiver, in two ways: once all that are there go
 // by it, and meanwhile, while each may go by the most of its old part and its new one.
 void Decider::Grow(const Matrix& wanted, const std::vector<double>& home, const std::vector<double>& most,
-                   const std::vector<Holders>& holders, Decision* next) const {
+                   const std::vector<HolderGroup>& holders, Decision* next) const {
   const std::size_t n = rules_.zones;
   const std::vector<Matrix> since = MostSince();
   std::vector<int> vanished(n);
-  for (const Holders& group : holders) {
+  for (const HolderGroup& group : holders) {
     if (!group.there) vanished[group.zone] += group.count;
   }
   next->grants = Matrix(n);
@@ -174,17 +174,17 @@
 
 // At one receiver. `vanished` are, by origin, the holders that are not there.
 void Decider::GrowAt(std::size_t r, const Matrix& wanted, double home, double most,
-                     const std::vector<Matrix>& since, const std::vector<Holders>& holders,
+                     const std::vector<Matrix>& since, const std::vector<HolderGroup>& holders,
                      const std::vector<int>& vanished, Decision* next) const {
   const std::size_t n = rules_.zones;
-  const auto old = [&](const Holders& group) { return MostOf(since, group, r); };
+  const auto old = [&](const HolderGroup& group) { return MostOf(since, group, r); };
   bool home_free = wanted.at(r, r) == kFree;
-  for (const Holders& group : holders) home_free |= group.zone == r && old(group) == kFree;
+  for (const HolderGroup& group : holders) home_free |= group.zone == r && old(group) == kFree;
   const double room = most - (home_free ? home : 0);
   const auto counts = [&](std::size_t o) { return o != r || !home_free; };
   // What those keep that are not there any more.
   double kept = 0, steady = 0;
-  for (const Holders& group : holders) {
+  for (const HolderGroup& group : holders) {
     if (!group.there && counts(group.zone)) kept += group.count * old(group);
   }
   std::vector<double> target(n), base(n);
@@ -199,7 +199,7 @@
   for (std::size_t o = 0; o < n; ++o) {
     target[o] *= part;
     base[o] = target[o];  // what adds to nobody's part
-    for (const Holders& group : holders) {
+    for (const HolderGroup& group : holders) {
       if (group.there && group.zone == o && counts(o))
         base[o] =
             std::min(base[o], std::max(1, next->zones[o].members) * std::max(0.0, LeastOf(since, group, r)));
@@ -207,7 +207,7 @@
   }
   const auto at_most = [&](double step) {
     double sum = kept;
-    for (const Holders& group : holders) {
+    for (const HolderGroup& group : holders) {
       if (!group.there || !counts(group.zone)) continue;
       const double grant = base[group.zone] + step * (target[group.zone] - base[group.zone]);
       sum += group.count * std::max(old(group), grant / std::max(1, next->zones[group.zone].members));
--- a/src/regions/decider_zones.cpp
+++ b/src/regions/decider_zones.cpp
@@ -60,16 +60,16 @@
   bool slow_by_several = false;  // also at so much load that this may be a crowd
 };
 
-Decider::Sums Decider::AddUp(const Snapshot& snapshot, std::vector<Seen>* seen) const {
+Decider::Sums Decider::AddUp(const Snapshot& snapshot, std::vector<Observation>* seen) const {
   Sums sums(rules_.zones);
-  for (const Word& word : snapshot.words) {
-    const auto o = static_cast<std::size_t>(word.evidence.zone);
+  for (const MemberReport& report : snapshot.reports) {
+    const auto o = static_cast<std::size_t>(report.evidence.zone);
     ++sums.members[o];
     for (std::size_t r = 0; r < rules_.zones; ++r) {
-      const ZoneWord& z = word.evidence.zones[r];
+      const ZoneReport& z = report.evidence.zones[r];
       (*seen)[r].served += z.served;
-      (*seen)[r].warm += z.warm / static_cast<double>(snapshot.words.size());
-      if (word.evidence.doubt || z.attempts <= 0) continue;
+      (*seen)[r].warm += z.warm / static_cast<double>(snapshot.reports.size());
+      if (report.evidence.doubt || z.attempts <= 0) continue;
       Pair& pair = sums.pairs[o][r];
       pair.attempts += z.attempts;
       pair.bad += z.bad;
@@ -87,8 +87,8 @@
 
 // What members of `o` say of `r`: into what is seen of `r`, and whether it is shut to
 // them.
-void Decider::LookAtPair(TimePoint at, std::size_t o, std::size_t r, int members, Pair* pair,
-                         Seen* seen) const {
+void Decider::ObservePair(TimePoint at, std::size_t o, std::size_t r, int members, Pair* pair,
+                          Observation* seen) const {
   const Pair& before = pairs_[o][r];
   pair->shut = before.shut && at < before.until;
   pair->until = before.until;
@@ -96,7 +96,7 @@
   seen->attempts += pair->attempts;
   // One member alone may be the one that is ill.
   if (pair->attempts < kEnough || pair->witnesses < std::min(2, members)) return;
-  ++seen->words;
+  ++seen->origins;
   const bool fails = pair->bad > kFails * pair->attempts;
   const bool is_slow = pair->timed > 0 && pair->slow > kSlow * seen->cold * pair->timed;
   if (o == r) seen->well_at_home = !fails && !is_slow;
@@ -115,25 +115,25 @@
   }
 }
 
-std::vector<Decider::Seen> Decider::Look(TimePoint at, const Snapshot& snapshot) {
+std::vector<Decider::Observation> Decider::Observe(TimePoint at, const Snapshot& snapshot) {
   const std::size_t n = rules_.zones;
-  std::vector<Seen> seen(n);
+  std::vector<Observation> seen(n);
   Sums sums = AddUp(snapshot, &seen);
   for (std::size_t r = 0; r < n; ++r) {
-    Seen& zone = seen[r];
+    Observation& zone = seen[r];
     if (sums.timed[r] > 0)
       zone.slow = sums.slow[r] / sums.timed[r], zone.latency = sums.latency[r] / sums.timed[r];
     if (sums.told[r] > 0) zone.used = sums.used[r] / sums.told[r];
     // Converters that have just started are slow by nature.
-    if (zone.warm > 0) zone.cold = std::clamp(cases_[r].most_warm / zone.warm, 1.0, kMostCold);
-    for (std::size_t o = 0; o < n; ++o) LookAtPair(at, o, r, sums.members[o], &sums.pairs[o][r], &zone);
+    if (zone.warm > 0) zone.cold = std::clamp(zones_[r].most_warm / zone.warm, 1.0, kMostCold);
+    for (std::size_t o = 0; o < n; ++o) ObservePair(at, o, r, sums.members[o], &sums.pairs[o][r], &zone);
   }
   pairs_ = std::move(sums.pairs);
   return seen;
 }
 
-void Decider::Learn(TimePoint now, Case* zone, const Seen& seen) const {
-  const double elapsed = looked_at_ == TimePoint{} ? 0 : (now - looked_at_).count();
+void Decider::LearnCapacity(TimePoint now, ZoneStatus* zone, const Observation& seen) const {
+  const double elapsed = observed_at_ == TimePoint{} ? 0 : (now - observed_at_).count();
   // Converters that leave take with them what they have shown; those that come, as the rules say how warm
   // they are, count like the others.
   if (zone->each > 0) zone->shown = zone->each * seen.warm;
@@ -142,7 +142,7 @@
     // What the deaf send keeps the zone busy too, and is in nobody's word. Where little is used, chance is
     // large beside it: taken for kFewUsed, it shows less than there is.
     const double full =
-        std::max(seen.served / std::max(kFewUsed, seen.used), gone_.empty() ? 0 : zone->shown);
+        std::max(seen.served / std::max(kFewUsed, seen.used), lost_members_.empty() ? 0 : zone->shown);
     const bool told = seen.used >= kFewUsed;
     if (told || full > zone->shown)
       zone->shown += zone->shown == 0 ? full : kShownGain * (full - zone->shown);
@@ -156,23 +156,23 @@
 }
 
 // What it has shown, as far as the converters that showed it are still there.
-double Decider::Able(const Case& zone) {
+double Decider::Capacity(const ZoneStatus& zone) {
   return zone.shown * (zone.of_warm > 0 ? std::min(1.0, zone.warm / zone.of_warm) : 1);
 }
 
-Decider::Signs Decider::SignsOf(const Case& zone, const Seen& seen) {
+Decider::Signs Decider::SignsOf(const ZoneStatus& zone, const Observation& seen) {
   // Two places, or the only one that sends there.
-  const auto by_several = [&](int places) { return places >= 2 || (places == 1 && seen.words == 1); };
+  const auto by_several = [&](int places) { return places >= 2 || (places == 1 && seen.origins == 1); };
   Signs signs;
   // Well for its own members, it is cut off and not ill: that shuts it to those who fail there (Pair::shut).
   signs.fails = by_several(seen.failing) && !seen.well_at_home;
   signs.slow_by_several = by_several(seen.slow_at) && !seen.well_at_home;
   signs.slow = signs.slow_by_several && (zone.shown <= 0 || seen.served < kFellShort * zone.shown);
-  signs.quick = seen.words > 0 && seen.failing == 0 && seen.slow < kNotSlow * seen.cold;
+  signs.quick = seen.origins > 0 && seen.failing == 0 && seen.slow < kNotSlow * seen.cold;
   return signs;
 }
 
-void Decider::Enter(TimePoint now, ZoneState state, double limit, std::string why, Case* zone) {
+void Decider::EnterState(TimePoint now, ZoneState state, double limit, std::string why, ZoneStatus* zone) {
   if (zone->state == ZoneState::kReturning || zone->state == state) zone->relapses += zone->state != state;
   zone->state = state;
   zone->limit = limit;
@@ -180,15 +180,16 @@
   zone->why = std::move(why);
 }
 
-std::string Decider::WordOf(const Seen& seen, const char* what) {
+std::string Decider::Reason(const Observation& seen, const char* what) {
   return std::string(what) + " by the word of members in " + (seen.who.empty() ? "none" : seen.who);
 }
 
 // The state of one zone, and its limit.
-void Decider::Judge(TimePoint now, std::size_t index, const Seen& seen, const std::string& evacuated) {
-  Case& zone = cases_[index];
+void Decider::UpdateZone(TimePoint now, std::size_t index, const Observation& seen,
+                         const std::string& evacuated) {
+  ZoneStatus& zone = zones_[index];
   zone.warm = seen.warm;
-  const double elapsed = looked_at_ == TimePoint{} ? 0 : (now - looked_at_).count();
+  const double elapsed = observed_at_ == TimePoint{} ? 0 : (now - observed_at_).count();
   zone.relapses *= std::exp2(-elapsed / kRelapseMemory.count());
   const Signs signs = SignsOf(zone, seen);
   if (!signs.quick) zone.well = false;
@@ -199,48 +200,51 @@
     zone.state = ZoneState::kSound;
     zone.why = "its converters have left the list";
     zone.well = false;
-    return Learn(now, &zone, seen);
+    return LearnCapacity(now, &zone, seen);
   }
   if (!evacuated.empty()) {
     if (zone.state != ZoneState::kEvacuated)
-      Enter(now, ZoneState::kEvacuated, 0, "ordered by " + evacuated, &zone);
+      EnterState(now, ZoneState::kEvacuated, 0, "ordered by " + evacuated, &zone);
     return;
   }
   switch (zone.state) {
     case ZoneState::kSound:
-      return JudgeSound(now, seen, signs, &zone);
+      return UpdateSound(now, seen, signs, &zone);
     case ZoneState::kLimping:
-      return JudgeLimping(now, seen, signs, &zone);
+      return UpdateLimping(now, seen, signs, &zone);
     case ZoneState::kDark:
-      return JudgeDark(now, seen, signs, &zone);
+      return UpdateDark(now, seen, signs, &zone);
     case ZoneState::kEvacuated:
-      return Enter(now, ZoneState::kReturning, kFirstStep * zone.shown, "the order has ended", &zone);
+      return EnterState(now, ZoneState::kReturning, kFirstStep * zone.shown, "the order has ended", &zone);
     case ZoneState::kReturning:
-      return JudgeReturning(now, seen, signs, &zone);
+      return UpdateReturning(now, seen, signs, &zone);
   }
 }
 
-void Decider::JudgeSound(TimePoint now, const Seen& seen, const Signs& signs, Case* zone) const {
-  if (signs.fails) return Enter(now, ZoneState::kDark, kTrial * zone->shown, WordOf(seen, "it fails"), zone);
+void Decider::UpdateSound(TimePoint now, const Observation& seen, const Signs& signs,
+                          ZoneStatus* zone) const {
+  if (signs.fails)
+    return EnterState(now, ZoneState::kDark, kTrial * zone->shown, Reason(seen, "it fails"), zone);
   if (signs.slow)
-    return Enter(now, ZoneState::kLimping,
-                 std::max(kTrial * zone->shown, std::min(zone->limit, kCut * seen.served)),
-                 WordOf(seen, "it is slow"), zone);
-  Learn(now, zone, seen);
+    return EnterState(now, ZoneState::kLimping,
+                      std::max(kTrial * zone->shown, std::min(zone->limit, kCut * seen.served)),
+                      Reason(seen, "it is slow"), zone);
+  LearnCapacity(now, zone, seen);
 }
 
-void Decider::JudgeLimping(TimePoint now, const Seen& seen, const Signs& signs, Case* zone) const {
+void Decider::UpdateLimping(TimePoint now, const Observation& seen, const Signs& signs,
+                            ZoneStatus* zone) const {
   // Attempts that were out when it slowed down end badly for a while: what answers is not dark.
   if (signs.fails && seen.served < kTrial * zone->shown)
-    return Enter(now, ZoneState::kDark, kTrial * zone->shown, WordOf(seen, "it fails"), zone);
+    return EnterState(now, ZoneState::kDark, kTrial * zone->shown, Reason(seen, "it fails"), zone);
   if (zone->well && now - zone->well_since >= kWell)
-    return Enter(now, ZoneState::kReturning, std::max(zone->limit, kFirstStep * zone->shown),
-                 "it is as quick as before", zone);
+    return EnterState(now, ZoneState::kReturning, std::max(zone->limit, kFirstStep * zone->shown),
+                      "it is as quick as before", zone);
   // So little is granted that nobody can say how quick it is: it is tried again, as one that returns.
-  if (seen.words == 0 && now - zone->stepped >= kWell * (1 + 2 * zone->relapses))
-    return Enter(now, ZoneState::kReturning, std::max(zone->limit, kFirstStep * zone->shown),
-                 "nobody sends enough to say that it is slow", zone);
-  if (now - zone->stepped < rules_.step || seen.attempts < kEnough || seen.words == 0) return;
+  if (seen.origins == 0 && now - zone->stepped >= kWell * (1 + 2 * zone->relapses))
+    return EnterState(now, ZoneState::kReturning, std::max(zone->limit, kFirstStep * zone->shown),
+                      "nobody sends enough to say that it is slow", zone);
+  if (now - zone->stepped < rules_.step || seen.attempts < kEnough || seen.origins == 0) return;
   zone->stepped = now;
   if (seen.used >= kFewUsed) {  // its converters say how much of what it does now they could do
     zone->limit = std::clamp(kShare * seen.served / seen.used, kTrial * zone->shown, zone->shown);
@@ -251,29 +255,30 @@
   }
 }
 
-void Decider::JudgeDark(TimePoint now, const Seen& seen, const Signs& signs, Case* zone) {
-  if (seen.words > 0 && !signs.fails && seen.failing == 0)
-    Enter(now, ZoneState::kReturning, kFirstStep * zone->shown, "it answers again", zone);
+void Decider::UpdateDark(TimePoint now, const Observation& seen, const Signs& signs, ZoneStatus* zone) {
+  if (seen.origins > 0 && !signs.fails && seen.failing == 0)
+    EnterState(now, ZoneState::kReturning, kFirstStep * zone->shown, "it answers again", zone);
 }
 
-void Decider::JudgeReturning(TimePoint now, const Seen& seen, const Signs& signs, Case* zone) const {
+void Decider::UpdateReturning(TimePoint now, const Observation& seen, const Signs& signs,
+                              ZoneStatus* zone) const {
   if (signs.fails)
-    return Enter(now, ZoneState::kDark, kTrial * zone->shown, WordOf(seen, "it failed as it returned,"),
-                 zone);
+    return EnterState(now, ZoneState::kDark, kTrial * zone->shown, Reason(seen, "it failed as it returned,"),
+                      zone);
   if (signs.slow_by_several)
-    return Enter(now, ZoneState::kLimping,
-                 std::max(kTrial * zone->shown, kCut * std::min(zone->limit, seen.served)),
-                 WordOf(seen, "it was slow as it returned,"), zone);
+    return EnterState(now, ZoneState::kLimping,
+                      std::max(kTrial * zone->shown, kCut * std::min(zone->limit, seen.served)),
+                      Reason(seen, "it was slow as it returned,"), zone);
   // Each relapse makes every step wait for longer. Where so little is granted that nobody speaks of it,
   // time alone.
-  if (now - zone->stepped < rules_.step * (1 + 2 * zone->relapses) || (seen.words > 0 && !signs.quick))
+  if (now - zone->stepped < rules_.step * (1 + 2 * zone->relapses) || (seen.origins > 0 && !signs.quick))
     return;
   zone->stepped = now;
   zone->limit *= kEarn;
   if (zone->limit < zone->shown) return;
   zone->state = ZoneState::kSound;
   zone->why = "it has earned back what it carried";
-  Learn(now, zone, seen);
+  LearnCapacity(now, zone, seen);
 }
 
 // A zone of which nothing is known yet, since nobody had cause to send there: a part of what its converters
@@ -281,15 +286,15 @@
 void Decider::GiveFirstRoom(const Snapshot& snapshot) {
   std::vector<double> each;
   double warm = 0, demand = 0;
-  for (const Case& zone : cases_) {
+  for (const ZoneStatus& zone : zones_) {
     if (zone.shown > 0 && zone.of_warm >= 0.5) each.push_back(zone.shown / zone.of_warm);
     warm += zone.warm;
   }
-  for (const Word& word : snapshot.words) demand += word.evidence.demand;
+  for (const MemberReport& report : snapshot.reports) demand += report.evidence.demand;
   std::sort(each.begin(), each.end());
   const double like =
       each.empty() ? (warm > 0 ? kFirstOfDemand * demand / warm : 0) : kFirstOfLike * each[each.size() / 2];
-  for (Case& zone : cases_) {
+  for (ZoneStatus& zone : zones_) {
     if (zone.state != ZoneState::kSound || zone.shown >= like * zone.warm) continue;
     zone.shown = like * zone.warm;
     zone.of_warm = zone.warm;
--- a/src/regions/decision.cpp
+++ b/src/regions/decision.cpp
@@ -103,13 +103,13 @@
                                       {"standby", Sparse(decision.standby)}});
 }
 
-std::string EncodeRoll(const Decision& decision) {
+std::string EncodeRoster(const Decision& decision) {
   json::array all;
-  for (const Decision::Counted& one : decision.roll) all.push_back(json::array{one.member, one.zone});
+  for (const Decision::Counted& one : decision.roster) all.push_back(json::array{one.member, one.zone});
   return json::serialize(json::object{{"v", 1}, {"epoch", decision.epoch}, {"members", std::move(all)}});
 }
 
-bool DecodeRoll(std::string_view text, std::size_t zones, Decision* decision) {
+bool DecodeRoster(std::string_view text, std::size_t zones, Decision* decision) {
   if (text.size() > kMostDecisionBytes) return false;
   boost::system::error_code error;
   const json::value root = json::parse(json::string_view(text.data(), text.size()), error);
@@ -120,15 +120,15 @@
   if (!Number(epoch, 0, &number, 9e15) || number != static_cast<double>(decision->epoch) || !list ||
       !list->is_array())
     return false;
-  std::vector<Decision::Counted> roll;
+  std::vector<Decision::Counted> roster;
   for (const json::value& value : list->get_array()) {
     double zone = 0;
     if (!value.is_array() || value.get_array().size() != 2 || !value.get_array()[0].is_string() ||
         !Number(&value.get_array()[1], 0, &zone) || zone >= static_cast<double>(zones))
       return false;
-    roll.push_back({std::string(value.get_array()[0].get_string()), static_cast<int>(zone)});
+    roster.push_back({std::string(value.get_array()[0].get_string()), static_cast<int>(zone)});
   }
-  decision->roll = std::move(roll);
+  decision->roster = std::move(roster);
   return true;
 }
 
--- a/src/regions/decision.h
+++ b/src/regions/decision.h
@@ -74,14 +74,14 @@
   Matrix grants;   // in force from this epoch on; kFree only on the diagonal
   Matrix ceiling;  // the most that any one member may still go by, under this or an older epoch
   Matrix standby;  // of a member that has lost touch, once its grants have run out: for its origin
-  // Whom Zone::members counts. Under a key of its own (EncodeRoll): only a decider reads it, a new one to
+  // Whom Zone::members counts. Under a key of its own (EncodeRoster): only a decider reads it, a new one to
   // know who has vanished.
   struct Counted {
     std::string member;
     int zone = 0;
     friend bool operator==(const Counted&, const Counted&) = default;
   };
-  std::vector<Counted> roll;
+  std::vector<Counted> roster;
 
   friend bool operator==(const Decision&, const Decision&) = default;
 };
@@ -90,9 +90,9 @@
 Matrix SlicesOf(const Decision& decision);
 
 std::string Encode(const Decision& decision);
-std::string EncodeRoll(const Decision& decision);
+std::string EncodeRoster(const Decision& decision);
 // False if it is none, or that of another epoch: then the decision's stays empty.
-bool DecodeRoll(std::string_view text, std::size_t zones, Decision* decision);
+bool DecodeRoster(std::string_view text, std::size_t zones, Decision* decision);
 std::optional<Decision> DecodeDecision(std::string_view text, std::size_t zones, std::string* why);
 
 }  // namespace badgerbridge::regions
--- a/src/regions/evidence.cpp
+++ b/src/regions/evidence.cpp
@@ -37,7 +37,7 @@
 
 std::string Encode(const Evidence& evidence) {
   json::array zones;
-  for (const ZoneWord& z : evidence.zones)
+  for (const ZoneReport& z : evidence.zones)
     zones.push_back(json::array{Rounded(z.attempts), Rounded(z.bad), Rounded(z.served), Rounded(z.slow),
                                 Rounded(z.latency), Rounded(z.used), Rounded(z.warm)});
   json::object all{{"v", 1},
@@ -78,7 +78,7 @@
   if (!list.is_array() || list.get_array().size() != zones)
     return bad("zones are not those of this installation");
   for (const json::value& value : list.get_array()) {
-    ZoneWord z;
+    ZoneReport z;
     if (!value.is_array() || value.get_array().size() != 7) return bad("a zone is no list of seven numbers");
     const json::array& n = value.get_array();
     if (!Read(n[0], 0, kMostCount, &z.attempts) || !Read(n[1], 0, kMostCount, &z.bad) ||
@@ -97,7 +97,7 @@
   for (Bucket& bucket : buckets_) bucket.zones.resize(zones);
 }
 
-void Meter::Roll(TimePoint now) {
+void Meter::Advance(TimePoint now) {
   if (began_ == TimePoint{}) began_ = bucket_began_ = now;
   for (int i = 0; now - bucket_began_ >= kBucket; ++i) {
     if (i > kBuckets) {  // nothing for long: all are empty
@@ -111,18 +111,18 @@
 }
 
 void Meter::Arrived(TimePoint now, double work) {
-  Roll(now);
+  Advance(now);
   buckets_[static_cast<std::size_t>(current_)].demand += work;
 }
 
 void Meter::Sent(TimePoint now, std::uint64_t attempt, std::size_t zone) {
-  Roll(now);
+  Advance(now);
   if (zone < zones_) out_.emplace(attempt, std::pair(zone, now));
 }
 
 void Meter::Ended(TimePoint now, std::uint64_t attempt, std::size_t request_class, End end, Duration took,
                   double work, std::optional<double> used) {
-  Roll(now);
+  Advance(now);
   const auto found = out_.find(attempt);
   if (found == out_.end()) return;
   const std::size_t zone = found->second.first;
@@ -162,7 +162,7 @@
 }
 
 Evidence Meter::Take(TimePoint now, std::uint64_t epoch) {
-  Roll(now);
+  Advance(now);
   Evidence evidence;
   evidence.epoch = epoch;
   evidence.zone = zone_;
@@ -195,7 +195,7 @@
   }
   int spoken = 0, failing = 0;
   for (std::size_t i = 0; i < zones_; ++i) {
-    ZoneWord& z = evidence.zones[i];
+    ZoneReport& z = evidence.zones[i];
     const Bucket::Zone& s = sums[i];
     // While answers come, what is out for long is slow and not lost.
     const double silent = answered[i] > 0 ? 0 : overdue[i];
--- a/src/regions/evidence.h
+++ b/src/regions/evidence.h
@@ -28,7 +28,7 @@
 constexpr std::size_t kMostEvidenceBytes = 8192;  // of a member's word: 64 zones at most
 
 // Of one zone, over the last second or so.
-struct ZoneWord {
+struct ZoneReport {
   double attempts = 0;  // that ended, or are out for longer than is likely
   double bad = 0;       // of these: failed, or out for too long
   double served = 0;    // work a ms
@@ -37,7 +37,7 @@
   double used = -1;     // 0 to 1: how busy its converters say they are; below 0: they say nothing
   double warm = 0;      // how many warm converters' worth the list has there: cold ones count by their share
 
-  friend bool operator==(const ZoneWord&, const ZoneWord&) = default;
+  friend bool operator==(const ZoneReport&, const ZoneReport&) = default;
 };
 
 // What a member publishes.
@@ -46,7 +46,7 @@
   int zone = 0;             // where it stands
   double demand = 0;        // work a ms that clients ask of it
   bool doubt = false;       // it sees several zones fail at once, and doubts itself
-  std::vector<ZoneWord> zones;
+  std::vector<ZoneReport> zones;
 
   friend bool operator==(const Evidence&, const Evidence&) = default;
 };
@@ -74,7 +74,7 @@
   void Ended(TimePoint now, std::uint64_t attempt, std::size_t request_class, End end, Duration took,
              double work, std::optional<double> used);
 
-  // What the list has in each zone, as ZoneWord::warm.
+  // What the list has in each zone, as ZoneReport::warm.
   void Listed(std::vector<double> warm) { warm_ = std::move(warm); }
 
   Evidence Take(TimePoint now, std::uint64_t epoch);
@@ -94,7 +94,7 @@
     int samples = 0;
   };
 
-  void Roll(TimePoint now);
+  void Advance(TimePoint now);
   double Likely(std::size_t zone) const;
 
   int zone_;
--- a/src/regions/member.cpp
+++ b/src/regions/member.cpp
@@ -2,8 +2,11 @@
 #include "regions/member.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
+#include "regions/keys.h"
+
 namespace badgerbridge::regions {
 namespace {
 
@@ -11,7 +14,7 @@
 constexpr double kHomeFails = 0.5;    // share of attempts
 constexpr double kHomeSlow = 3;
 constexpr double kFewAttempts = 3;
-constexpr Duration kStandWithin{300};  // members stand at moments drawn from so much, not all at once
+constexpr Duration kCampaignWithin{300};  // members stand at moments drawn from so much, not all at once
 constexpr TimePoint kNever{Duration(1e300)};
 
 }  // namespace
@@ -33,7 +36,7 @@
 
 // Whatever is admitted from here on is another life of this member's key. What the last one was granted holds
 // for as long as the decider counts it.
-void Member::BeginLife() {
+void Member::StartIncarnation() {
   if (admitted()) {
     held_until_ = valid_until_;
     held_ = SlicesOf(*decision_);
@@ -47,14 +50,14 @@
   if (began_ == TimePoint{}) {
     began_ = now;
     // A fleet that starts at once must not beat in step.
-    next_beat_ = now;
-    wake_ = now + settings_.beat * Unit();
+    next_heartbeat_ = now;
+    wake_ = now + settings_.heartbeat * Unit();
   }
   if (out_ && now - sent_at_ < settings_.call_timeout * 2) return std::nullopt;
   if (out_) Failed(now, "a call was never answered");  // whoever carries it out has lost it
   if (now < wake_) return std::nullopt;
   if (!settings_.together) {
-    wake_ = now + settings_.beat;
+    wake_ = now + settings_.heartbeat;
     DecideAlone(now);
     return std::nullopt;
   }
@@ -67,15 +70,15 @@
     call = KeepAlive{lease_};
   } else if (proposal_) {
     call = *std::exchange(proposal_, std::nullopt);
-  } else if (decider_.empty() && stand_at_ != TimePoint{} && now >= stand_at_) {
-    call = Stand{lease_};
-    stand_at_ = TimePoint{};
-  } else if (now >= next_beat_) {
+  } else if (decider_.empty() && campaign_at_ != TimePoint{} && now >= campaign_at_) {
+    call = Campaign{lease_};
+    campaign_at_ = TimePoint{};
+  } else if (now >= next_heartbeat_) {
     last_ = meter_.Take(now, decision_ ? decision_->epoch : 0);
-    call = Beat{lease_, Encode(last_), deciding(), decision_modified_};
-    next_beat_ = std::max(now, next_beat_ + settings_.beat);
+    call = Heartbeat{lease_, Encode(last_), deciding(), decision_modified_};
+    next_heartbeat_ = std::max(now, next_heartbeat_ + settings_.heartbeat);
   } else {
-    wake_ = std::min(next_beat_, stand_at_ == TimePoint{} ? kNever : stand_at_);
+    wake_ = std::min(next_heartbeat_, campaign_at_ == TimePoint{} ? kNever : campaign_at_);
     return std::nullopt;
   }
   out_ = call;
@@ -86,7 +89,7 @@
 }
 
 void Member::Failed(TimePoint now, std::string why) {
-  trouble_ = std::move(why);
+  last_error_ = std::move(why);
   out_.reset();
   proposal_.reset();
   const double part = 0.5 + 0.5 * Unit();
@@ -96,7 +99,7 @@
 
 // What it may do stands for as long as the decider waits for it (valid_until_), and no longer.
 void Member::LoseLease(const std::string& why) {
-  trouble_ = why;
+  last_error_ = why;
   lease_ = 0;
   decider_created_ = 0;
   proposal_.reset();
@@ -108,7 +111,7 @@
   if (!reply.ok) {
     Failed(now, "a call was not answered");
     if (reply.lease_gone) {
-      BeginLife();
+      StartIncarnation();
       LoseLease("etcd does not know the lease any more");
     }
     return;
@@ -123,25 +126,25 @@
   };
   if (std::holds_alternative<Grant>(call)) {
     lease_ = reply.lease;
-    BeginLife();
+    StartIncarnation();
     renewed(sent_at_);
   } else if (std::holds_alternative<KeepAlive>(call)) {
     renewed(sent_at_);
-  } else if (std::holds_alternative<Beat>(call)) {
+  } else if (std::holds_alternative<Heartbeat>(call)) {
     Read(now, reply);
-  } else if (std::holds_alternative<Stand>(call)) {
+  } else if (std::holds_alternative<Campaign>(call)) {
     if (reply.held) {
       decider_created_ = reply.revision;
       decider_ = settings_.name;
-      decides_.Begin();
-      next_beat_ = now;
+      decides_.Reset();
+      next_heartbeat_ = now;
     }
   } else if (std::holds_alternative<Propose>(call)) {
     if (!reply.held) {
-      trouble_ = "another has decided";
+      last_error_ = "another has decided";
       decider_created_ = 0;
     }
-    next_beat_ = now;  // go by it, and confirm it
+    next_heartbeat_ = now;  // go by it, and confirm it
   }
 }
 
@@ -149,9 +152,9 @@
   const Kv* decider = nullptr;
   const Kv* record = nullptr;
   for (const Kv& kv : reply.kvs) {
-    if (kv.key == "decider") decider = &kv;
-    if (kv.key == "decision") record = &kv;
-    if (kv.key == "members/" + settings_.name) created_ = kv.created;
+    if (kv.key == kDeciderKey) decider = &kv;
+    if (kv.key == kDecisionKey) record = &kv;
+    if (kv.key == MemberKey(settings_.name)) created_ = kv.created;
   }
   decider_ = decider ? decider->value : "";
   // A term is known by the revision at which its key was made: one that slept does not take up another's.
@@ -160,10 +163,10 @@
   if (decider && decider_created_ == 0 && decider->value == settings_.name && lease_ != 0 &&
       decider->lease == lease_) {
     decider_created_ = decider->created;
-    decides_.Begin();
+    decides_.Reset();
   }
-  if (!decider && stand_at_ == TimePoint{}) stand_at_ = now + kStandWithin * Unit();
-  if (decider) stand_at_ = TimePoint{};
+  if (!decider && campaign_at_ == TimePoint{}) campaign_at_ = now + kCampaignWithin * Unit();
+  if (decider) campaign_at_ = TimePoint{};
   std::string why;
   if (record && record->modified != decision_modified_) {
     auto read = DecodeDecision(record->value, settings_.rules.zones, &why);
@@ -171,7 +174,7 @@
       decision_ = std::move(read);
       decision_modified_ = record->modified;
     } else {
-      trouble_ = "the decision can't be read: " + why;  // the last one stays
+      last_error_ = "the decision can't be read: " + why;  // the last one stays
     }
   }
   if (!record) decision_modified_ = 0;
@@ -185,21 +188,22 @@
   snapshot.evacuated.resize(settings_.rules.zones);
   std::string why;
   for (const Kv& kv : reply.kvs) {
-    if (kv.key.rfind("members/", 0) == 0) {
+    if (kv.key.rfind(kMembersKey, 0) == 0) {
       auto evidence = DecodeEvidence(kv.value, settings_.rules.zones, &why);
-      if (evidence) snapshot.words.push_back({kv.key.substr(8), kv.created, std::move(*evidence)});
-    } else if (kv.key == "roll" && snapshot.decision) {
-      DecodeRoll(kv.value, settings_.rules.zones, &*snapshot.decision);
-    } else if (kv.key.rfind("orders/", 0) == 0) {
+      if (evidence)
+        snapshot.reports.push_back(
+            {kv.key.substr(std::size(kMembersKey) - 1), kv.created, std::move(*evidence)});
+    } else if (kv.key == kRosterKey && snapshot.decision) {
+      DecodeRoster(kv.value, settings_.rules.zones, &*snapshot.decision);
+    } else if (kv.key.rfind(kOrdersKey, 0) == 0) {
       for (std::size_t z = 0; z < settings_.rules.zones; ++z) {
-        if (kv.key == "orders/" + std::to_string(z))
-          snapshot.evacuated[z] = kv.value.empty() ? "nobody" : kv.value;
+        if (kv.key == OrderKey(z)) snapshot.evacuated[z] = kv.value.empty() ? "nobody" : kv.value;
       }
     }
   }
   const auto next = decides_.Decide(now, snapshot, settings_.name);
   if (!next) return;
-  proposal_ = Propose{Encode(*next), EncodeRoll(*next), decider_created_, decision_modified_};
+  proposal_ = Propose{Encode(*next), EncodeRoster(*next), decider_created_, decision_modified_};
 }
 
 // The same rules over its own word: what it sends to a zone that fails, or is slow, is cut; what it sends to
@@ -210,14 +214,14 @@
   snapshot.decision = decision_;
   last_ = meter_.Take(now, decision_ ? decision_->epoch : 0);
   Evidence own = last_;
-  for (ZoneWord& z : own.zones) z.used = -1;  // of all, not of what this member sends
-  snapshot.words.push_back({settings_.name, 1, std::move(own)});
+  for (ZoneReport& z : own.zones) z.used = -1;  // of all, not of what this member sends
+  snapshot.reports.push_back({settings_.name, 1, std::move(own)});
   if (auto next = decides_.Decide(now, snapshot, settings_.name)) decision_ = std::move(next);
 }
 
 bool Member::HomeFails() const {
   if (last_.zones.empty()) return false;
-  const ZoneWord& home = last_.zones[static_cast<std::size_t>(settings_.zone)];
+  const ZoneReport& home = last_.zones[static_cast<std::size_t>(settings_.zone)];
   return home.attempts >= kFewAttempts && !last_.doubt &&
          (home.bad > kHomeFails * home.attempts || home.slow > kHomeSlow);
 }
--- a/src/regions/member.h
+++ b/src/regions/member.h
@@ -32,9 +32,9 @@
   int zone = 0;
   Rules rules;
   std::size_t classes = 1;
-  bool together = true;  // false: nobody to talk to; own evidence alone
-  int ttl_s = 3;         // of the lease
-  Duration beat{250};    // between two publications
+  bool together = true;     // false: nobody to talk to; own evidence alone
+  int ttl_s = 3;            // of the lease
+  Duration heartbeat{250};  // between two publications
   Duration call_timeout{700};
   Duration backoff{100}, most_backoff{1000};
 };
@@ -56,31 +56,31 @@
   // Puts members/NAME under the lease, then reads members/NAME, decision, decider and orders/, and members/
   // and roll if `all`: in one transaction. Of a decision of the modification `known` the key alone, without
   // its value.
-  struct Beat {
+  struct Heartbeat {
     std::int64_t lease = 0;
     std::string value;
     bool all = false;
     std::int64_t known = 0;
   };
   // Makes `decider` under the lease if there is no such key.
-  struct Stand {
+  struct Campaign {
     std::int64_t lease = 0;
   };
   // Writes `decision` and `roll` if `decider` is of that creation and `decision` of that modification (0:
   // there is none).
   struct Propose {
-    std::string value, roll;
+    std::string value, roster;
     std::int64_t decider_created = 0, decision_modified = 0;
   };
-  using Call = std::variant<Grant, KeepAlive, Beat, Stand, Propose>;
+  using Call = std::variant<Grant, KeepAlive, Heartbeat, Campaign, Propose>;
 
   struct Reply {
     bool ok = false;          // it was answered, and done, unless `held` says otherwise
     bool lease_gone = false;  // etcd does not know the lease any more
-    bool held = true;         // the conditions of Stand and Propose
+    bool held = true;         // the conditions of Campaign and Propose
     std::int64_t lease = 0;   // of a Grant, or the lease that was kept
     std::int64_t revision = 0;
-    std::vector<Kv> kvs;  // of a Beat
+    std::vector<Kv> kvs;  // of a Heartbeat
   };
 
   Member(MemberSettings settings, std::uint64_t seed);
@@ -110,13 +110,13 @@
   bool admitted() const;
   const std::optional<Decision>& decision() const { return decision_; }
   const std::string& decider() const { return decider_; }
-  const std::string& last_trouble() const { return trouble_; }
+  const std::string& last_error() const { return last_error_; }
   std::uint64_t calls() const { return calls_; }
 
  private:
   void Failed(TimePoint now, std::string why);
   double Unit();  // drawn from [0, 1)
-  void BeginLife();
+  void StartIncarnation();
   void LoseLease(const std::string& why);
   void Read(TimePoint now, const Reply& reply);
   void Decide(TimePoint now, const Reply& reply);
@@ -128,7 +128,7 @@
   Decider decides_;
   std::mt19937_64 random_;
   std::optional<Call> out_;
-  TimePoint sent_at_{}, wake_{}, began_{}, next_beat_{}, stand_at_{};
+  TimePoint sent_at_{}, wake_{}, began_{}, next_heartbeat_{}, campaign_at_{};
   Duration backoff_;
   std::int64_t lease_ = 0, created_ = 0;
   TimePoint renewed_{};                      // when the call that last renewed the lease was made
@@ -141,7 +141,7 @@
   std::int64_t decider_created_ = 0;  // of this member's own term
   std::optional<Propose> proposal_;
   Evidence last_;
-  std::string trouble_;
+  std::string last_error_;
   std::uint64_t calls_ = 0;
 };
 
--- a/tests/regions/decider_test.cpp
+++ b/tests/regions/decider_test.cpp
@@ -22,30 +22,30 @@
     rules.price = Matrix(2, 1);
     decider = std::make_unique<Decider>(rules);
     for (int i = 0; i < 4; ++i) {
-      Word word;
-      word.member = "n" + std::to_string(i);
-      word.created = 10 + i;
-      word.evidence.zone = i / 2;
-      word.evidence.demand = 1;
-      word.evidence.zones.resize(2);
-      for (ZoneWord& z : word.evidence.zones) z.attempts = 20, z.latency = 20, z.warm = 10;
-      snapshot.words.push_back(word);
+      MemberReport report;
+      report.member = "n" + std::to_string(i);
+      report.created = 10 + i;
+      report.evidence.zone = i / 2;
+      report.evidence.demand = 1;
+      report.evidence.zones.resize(2);
+      for (ZoneReport& z : report.evidence.zones) z.attempts = 20, z.latency = 20, z.warm = 10;
+      snapshot.reports.push_back(report);
     }
   }
   // 250 ms on: what was decided is read by all but `deaf`, a name.
   void Step(const std::string& deaf = "") {
     now += 250;
     snapshot.revision = 100 + static_cast<std::int64_t>(now);
-    for (Word& word : snapshot.words) {
+    for (MemberReport& report : snapshot.reports) {
       for (std::size_t z = 0; z < 2; ++z) {
-        word.evidence.zones[z].served =
-            z == static_cast<std::size_t>(word.evidence.zone) ? word.evidence.demand : 0;
-        word.evidence.zones[z].used = used;
+        report.evidence.zones[z].served =
+            z == static_cast<std::size_t>(report.evidence.zone) ? report.evidence.demand : 0;
+        report.evidence.zones[z].used = used;
       }
     }
     if (auto next = decider->Decide(At(now), snapshot, "n0")) snapshot.decision = std::move(next);
-    for (Word& word : snapshot.words) {
-      if (word.member != deaf && snapshot.decision) word.evidence.epoch = snapshot.decision->epoch;
+    for (MemberReport& report : snapshot.reports) {
+      if (report.member != deaf && snapshot.decision) report.evidence.epoch = snapshot.decision->epoch;
     }
   }
   double Given(std::size_t o, std::size_t r) const { return snapshot.decision->grants.at(o, r); }
@@ -60,7 +60,7 @@
   for (int i = 0; i < 20; ++i) table.Step();
   const std::uint64_t before = table.snapshot.decision->epoch;
   for (int i = 0; i < 2000; ++i) {
-    table.snapshot.words[0].evidence.demand = i / 9 % 2 ? 1 : 3;  // so that there is something to decide
+    table.snapshot.reports[0].evidence.demand = i / 9 % 2 ? 1 : 3;  // so that there is something to decide
     table.Step("n3");
     ASSERT_LE(table.decider->epochs(), 65u);
   }
@@ -74,15 +74,16 @@
 // Where every receiver is full, there is never a moment at which its part just fits.
 TEST(RegionsDecider, WhoComesBackWhileAllIsFullWaitsNoLongerThanASecond) {
   Table table;
-  for (Word& word : table.snapshot.words) word.evidence.demand = word.evidence.zone == 0 ? 30 : 2;
+  for (MemberReport& report : table.snapshot.reports)
+    report.evidence.demand = report.evidence.zone == 0 ? 30 : 2;
   table.used = 0.95;
   for (int i = 0; i < 40; ++i) table.Step();
-  Word back = table.snapshot.words[1];
-  table.snapshot.words.erase(table.snapshot.words.begin() + 1);
+  MemberReport back = table.snapshot.reports[1];
+  table.snapshot.reports.erase(table.snapshot.reports.begin() + 1);
   for (int i = 0; i < 8; ++i) table.Step();  // within its hold: the other uses the room
   back.created = 5000;
   back.evidence.epoch = 0;  // another process
-  table.snapshot.words.push_back(back);
+  table.snapshot.reports.push_back(back);
   for (int i = 0; i < 6; ++i) table.Step();
   const auto& returned = table.snapshot.decision->returned;
   EXPECT_TRUE(table.snapshot.decision->admitted >= 5000 ||
@@ -97,10 +98,10 @@
     Table table;
     for (int i = 0; i < 40; ++i) table.Step();
     ASSERT_GT(table.Given(0, 1), 0);
-    ASSERT_EQ(table.snapshot.decision->roll.size(), 4u);
-    table.decider->Begin();
-    if (!with_roll) table.snapshot.decision->roll.clear();
-    table.snapshot.words.erase(table.snapshot.words.begin() + 1);  // n1, of zone 0
+    ASSERT_EQ(table.snapshot.decision->roster.size(), 4u);
+    table.decider->Reset();
+    if (!with_roll) table.snapshot.decision->roster.clear();
+    table.snapshot.reports.erase(table.snapshot.reports.begin() + 1);  // n1, of zone 0
     table.Step();
     const Decision first = *table.snapshot.decision;
     EXPECT_EQ(first.zones[0].members, 2) << "it may still send";
@@ -109,12 +110,12 @@
     EXPECT_EQ(table.snapshot.decision->zones[0].members, 1);
     EXPECT_EQ(table.snapshot.decision->zones[0].lost, 1);
     // By its name it is known again, and takes its part; without, it waits as one never seen.
-    Word back;
+    MemberReport back;
     back.member = "n1";
     back.created = 5000;
-    back.evidence = table.snapshot.words[0].evidence;
+    back.evidence = table.snapshot.reports[0].evidence;
     back.evidence.epoch = 0;
-    table.snapshot.words.push_back(back);
+    table.snapshot.reports.push_back(back);
     for (int i = 0; i < 8; ++i) table.Step();
     EXPECT_EQ(table.snapshot.decision->zones[0].members, 2);
   }
--- a/tests/regions/member_test.cpp
+++ b/tests/regions/member_test.cpp
@@ -139,22 +139,22 @@
   d.zones.resize(2);
   d.grants = d.ceiling = d.standby = Matrix(2);
   d.returned = {{"n7", 31}};
-  d.roll = {{"n1", 0}, {"n7", 1}};
+  d.roster = {{"n1", 0}, {"n7", 1}};
   std::string why;
   auto read = DecodeDecision(Encode(d), 2, &why);
   ASSERT_TRUE(read) << why;
   EXPECT_EQ(read->returned, d.returned);
-  EXPECT_TRUE(read->roll.empty());
-  EXPECT_TRUE(DecodeRoll(EncodeRoll(d), 2, &*read));
+  EXPECT_TRUE(read->roster.empty());
+  EXPECT_TRUE(DecodeRoster(EncodeRoster(d), 2, &*read));
   EXPECT_EQ(*read, d);
   Decision other = d;
   other.epoch = 13;
-  other.roll.clear();
-  EXPECT_FALSE(DecodeRoll(EncodeRoll(d), 2, &other));  // of another epoch
-  EXPECT_FALSE(DecodeRoll(EncodeRoll(d), 1, &*read));  // a zone that is none
+  other.roster.clear();
+  EXPECT_FALSE(DecodeRoster(EncodeRoster(d), 2, &other));  // of another epoch
+  EXPECT_FALSE(DecodeRoster(EncodeRoster(d), 1, &*read));  // a zone that is none
   for (const char* text : {"", "{}", "[]", R"({"epoch":12})", R"({"epoch":12,"members":[["n1"]]})",
                            R"({"epoch":12,"members":[["n1",-1]]})", R"({"epoch":12,"members":[[1,1]]})"})
-    EXPECT_FALSE(DecodeRoll(text, 2, &*read)) << text;
+    EXPECT_FALSE(DecodeRoster(text, 2, &*read)) << text;
   std::string bad = Encode(d);
   bad.replace(bad.find("[\"n7\",31]"), 9, "[\"n7\",\"\"]");
   EXPECT_FALSE(DecodeDecision(bad, 2, &why));
--- a/tests/regions/proxy_test.cpp
+++ b/tests/regions/proxy_test.cpp
@@ -290,31 +290,31 @@
   pb::PutResponse ignored;
   store.Put(stray, &ignored);
 
-  Member::Reply reply = txn(ToEtcd(Member::Beat{lease.lease, "word", true}, kPrefix, "n1"));
+  Member::Reply reply = txn(ToEtcd(Member::Heartbeat{lease.lease, "word", true}, kPrefix, "n1"));
   ASSERT_TRUE(reply.ok);
   ASSERT_EQ(reply.kvs.size(), 1u);
   EXPECT_EQ(reply.kvs[0].key, "members/n1");
   EXPECT_EQ(reply.kvs[0].lease, lease.lease);
   EXPECT_EQ(reply.kvs[0].created, reply.revision);
-  reply = txn(ToEtcd(Member::Beat{lease.lease + 1, "word", false}, kPrefix, "n1"));
+  reply = txn(ToEtcd(Member::Heartbeat{lease.lease + 1, "word", false}, kPrefix, "n1"));
   EXPECT_FALSE(reply.ok);
   EXPECT_TRUE(reply.lease_gone);
 
-  const Member::Reply stood = txn(ToEtcd(Member::Stand{lease.lease}, kPrefix, "n1"));
+  const Member::Reply stood = txn(ToEtcd(Member::Campaign{lease.lease}, kPrefix, "n1"));
   EXPECT_TRUE(stood.ok && stood.held);
-  EXPECT_FALSE(txn(ToEtcd(Member::Stand{lease.lease}, kPrefix, "n2")).held);
+  EXPECT_FALSE(txn(ToEtcd(Member::Campaign{lease.lease}, kPrefix, "n2")).held);
   // Written by the decider of that term alone, and over no other decision than the one it read.
   EXPECT_FALSE(txn(ToEtcd(Member::Propose{"d", "r", stood.revision + 7, 0}, kPrefix)).held);
   EXPECT_FALSE(txn(ToEtcd(Member::Propose{"d", "r", stood.revision, 5}, kPrefix)).held);
   const Member::Reply written = txn(ToEtcd(Member::Propose{"d", "r", stood.revision, 0}, kPrefix));
   EXPECT_TRUE(written.held);
   EXPECT_FALSE(txn(ToEtcd(Member::Propose{"e", "r", stood.revision, 0}, kPrefix)).held);
-  reply = txn(ToEtcd(Member::Beat{lease.lease, "word", false}, kPrefix, "n1"));
+  reply = txn(ToEtcd(Member::Heartbeat{lease.lease, "word", false}, kPrefix, "n1"));
   EXPECT_EQ(reply.kvs.size(), 3u);  // its own, the decision, the decider; no roll
-  EXPECT_EQ(txn(ToEtcd(Member::Beat{lease.lease, "word", true}, kPrefix, "n1")).kvs.size(), 4u);
+  EXPECT_EQ(txn(ToEtcd(Member::Heartbeat{lease.lease, "word", true}, kPrefix, "n1")).kvs.size(), 4u);
   // What is known already is not sent again.
   const auto value_with = [&](std::int64_t known) {
-    const auto read = txn(ToEtcd(Member::Beat{lease.lease, "word", false, known}, kPrefix, "n1"));
+    const auto read = txn(ToEtcd(Member::Heartbeat{lease.lease, "word", false, known}, kPrefix, "n1"));
     for (const auto& kv : read.kvs) {
       if (kv.key == "decision") return std::to_string(kv.modified == written.revision) + kv.value;
     }
--- a/tests/regions/random_test.cpp
+++ b/tests/regions/random_test.cpp
@@ -264,10 +264,10 @@
     std::set<std::uint64_t> epochs;
     int deciding = 0;
     for (auto& one : fleet.all) {
-      ASSERT_TRUE(one.member->decision()) << one.member->last_trouble();
+      ASSERT_TRUE(one.member->decision()) << one.member->last_error();
       epochs.insert(one.member->decision()->epoch);
       deciding += one.member->deciding();
-      EXPECT_TRUE(one.member->admitted()) << one.name << ": " << one.member->last_trouble();
+      EXPECT_TRUE(one.member->admitted()) << one.name << ": " << one.member->last_error();
       EXPECT_EQ(one.member->Shares(fleet.Clock(one))[one.zone], kFree) << "seed " << seed << " " << one.name;
     }
     EXPECT_EQ(deciding, 1) << "seed " << seed;
