--- a/src/lab/converter.cpp
+++ b/src/lab/converter.cpp
@@ -12,13 +12,13 @@
 void Converter::Start(TimePoint up_since) {
   up_ = true;
   up_since_ = up_since;
-  ++life_;
+  ++incarnation_;
 }
 
 void Converter::Die(TimePoint now) {
   if (!up_) return;
   up_ = false;
-  ++life_;
+  ++incarnation_;
   running_ = 0;
   received_.clear();
   received_work_ = 0;
@@ -68,12 +68,12 @@
   const TimePoint end = std::max(now, paused_until_) + takes;
   busy_ms_ += (end - now).count();
   watcher_.Began(now, index_, job.id);
-  queue_.At(end, this, 0, job.id, life_);
+  queue_.At(end, this, 0, job.id, incarnation_);
 }
 
-void Converter::On(TimePoint now, std::uint32_t, std::uint64_t job, std::uint64_t life) {
-  if (life != life_) return;
-  if (now < paused_until_) return queue_.At(paused_until_, this, 0, job, life);
+void Converter::On(TimePoint now, std::uint32_t, std::uint64_t job, std::uint64_t incarnation) {
+  if (incarnation != incarnation_) return;
+  if (now < paused_until_) return queue_.At(paused_until_, this, 0, job, incarnation);
   --running_;
   run_.erase(std::find(run_.begin(), run_.end(), job));
   const bool right = wrong_ <= 0 || random_.Unit() >= wrong_;
--- a/src/lab/converter.h
+++ b/src/lab/converter.h
@@ -71,7 +71,7 @@
     double work;
   };
 
-  void On(TimePoint now, std::uint32_t what, std::uint64_t job, std::uint64_t life) override;
+  void On(TimePoint now, std::uint32_t what, std::uint64_t job, std::uint64_t incarnation) override;
   void Run(TimePoint now, const Job& job);
   bool Overwhelmed(TimePoint now, double work);
 
@@ -82,7 +82,7 @@
   Random random_;
   bool up_ = false;
   TimePoint up_since_{}, paused_until_{};
-  std::uint64_t life_ = 0;  // of the process: what an older one had begun has ended with it
+  std::uint64_t incarnation_ = 0;  // of the process: what an older one had begun has ended with it
   double slow_ = 1, wrong_ = 0, busy_ms_ = 0;
   int running_ = 0;
   std::uint64_t taken_ = 0;
--- a/src/lab/members.h
+++ b/src/lab/members.h
@@ -43,7 +43,7 @@
   enum What : std::uint32_t { kAsk, kReach, kReply };
   struct One;
 
-  void On(TimePoint now, std::uint32_t what, std::uint64_t proxy, std::uint64_t life) override;
+  void On(TimePoint now, std::uint32_t what, std::uint64_t proxy, std::uint64_t incarnation) override;
   void Ask(TimePoint now, std::size_t proxy);
   void Tell(TimePoint now, std::size_t proxy);
   std::vector<double> Cliff(TimePoint now, One& one);
--- a/src/lab/referee.cpp
+++ b/src/lab/referee.cpp
@@ -41,14 +41,15 @@
     Break(Rule::kLost, now, step, "no answer in the client's time from proxy " + std::to_string(trace.proxy));
 }
 
-void Referee::Sent(TimePoint now, std::uint64_t step, const Trace& trace, std::optional<TimePoint> told_off,
-                   std::uint32_t converter) {
+void Referee::Sent(TimePoint now, std::uint64_t step, const Trace& trace,
+                   std::optional<TimePoint> draining_since, std::uint32_t converter) {
   if (trace.answered) Break(Rule::kLost, now, step, "an attempt after the final answer");
   if (trace.attempts_out > 1) Break(Rule::kTwice, now, step, "two attempts of a request out at a time");
-  if (told_off && now - *told_off > drain_grace_)
+  if (draining_since && now - *draining_since > drain_grace_)
     Break(Rule::kDrain, now, step,
           "proxy " + std::to_string(trace.proxy) + " sends to converter " + std::to_string(converter) + " " +
-              std::to_string(static_cast<long>((now - *told_off).count())) + " ms after it was told off");
+              std::to_string(static_cast<long>((now - *draining_since).count())) +
+              " ms after it was told off");
 }
 
 bool Referee::Effect(TimePoint now, std::uint64_t step, Trace& trace, const fordlb::ClassSettings& rules,
--- a/src/lab/referee.h
+++ b/src/lab/referee.h
@@ -38,7 +38,7 @@
 // A request, from its sending to the moment at which nothing of it is under way.
 struct Trace {
   int request_class = 0;
-  std::uint32_t proxy = 0, life = 0;  // which, and which of its lives
+  std::uint32_t proxy = 0, incarnation = 0;  // which, and which of its starts
   TimePoint sent{}, due{};
   int attempts_out = 0;           // that its proxy still waits for
   int records = 0;                // of attempts that are out, or run still
@@ -58,7 +58,7 @@
                 bool refused);
   // Its client's time is up.
   void TimeUp(TimePoint now, std::uint64_t step, const Trace& trace, bool proxy_lives);
-  void Sent(TimePoint now, std::uint64_t step, const Trace& trace, std::optional<TimePoint> told_off,
+  void Sent(TimePoint now, std::uint64_t step, const Trace& trace, std::optional<TimePoint> draining_since,
             std::uint32_t converter);
   // An attempt of it begins to run. False: a repeat that the group drops, and answers without an effect.
   bool Effect(TimePoint now, std::uint64_t step, Trace& trace, const fordlb::ClassSettings& rules, int group);
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -129,8 +129,8 @@
       return EndAttempt(now, a, Outcome::kTimeout);
     case kWake:
       return Wake(now, a, b);
-    case kTold:
-      return Tell(now, a, b);
+    case kListArrives:
+      return DeliverChange(now, a, b);
     case kHappen:
       return Happen(now, model_.happenings[a]);
     case kNoticed:
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -68,7 +68,7 @@
     kAttemptEnds,
     kAttemptTimesOut,
     kWake,
-    kTold,
+    kListArrives,
     kHappen,
     kNoticed
   };
@@ -102,8 +102,8 @@
   void ReachProxy(TimePoint now, std::uint64_t trace);
   void Carry(TimePoint now, std::size_t proxy);
   void Send(TimePoint now, std::size_t proxy, const exchange::Send& send);
-  void Tell(TimePoint now, std::size_t proxy, std::uint64_t change);
-  void Wake(TimePoint now, std::size_t proxy, std::uint64_t life);
+  void DeliverChange(TimePoint now, std::size_t proxy, std::uint64_t change);
+  void Wake(TimePoint now, std::size_t proxy, std::uint64_t incarnation);
   void Kill(TimePoint now, std::size_t proxy);
   void Revive(TimePoint now, std::size_t proxy);
   void Noticed(std::size_t proxy);
--- a/src/lab/world_clients.cpp
+++ b/src/lab/world_clients.cpp
@@ -120,7 +120,8 @@
   if (found == traces_.end()) return;
   Trace& trace = found->second;
   const Proxy& proxy = proxies_[trace.proxy];
-  if (trace.life != 0) referee_.TimeUp(now, queue_.steps(), trace, proxy.life == trace.life);
+  if (trace.incarnation != 0)
+    referee_.TimeUp(now, queue_.steps(), trace, proxy.incarnation == trace.incarnation);
   if (!trace.answered && !trace.left) {  // its proxy died
     trace.answered = true;
     ++result_.classes[static_cast<std::size_t>(trace.request_class)].cut_short;
@@ -138,7 +139,7 @@
   ++result_.classes[static_cast<std::size_t>(trace.request_class)].left;
   intents_.erase(trace.intent);
   Proxy& proxy = proxies_[trace.proxy];
-  if (proxy.life != trace.life || proxy.traces.erase(trace.request) == 0) return;
+  if (proxy.incarnation != trace.incarnation || proxy.traces.erase(trace.request) == 0) return;
   proxy.core->Gone(now, trace.request, &proxy.actions);
   Carry(now, trace.proxy);
 }
--- a/src/lab/world_converters.cpp
+++ b/src/lab/world_converters.cpp
@@ -13,7 +13,7 @@
 
 void World::ReachConverter(TimePoint now, std::uint64_t id) {
   const auto found = attempts_.find(id);
-  if (found == attempts_.end() || found->second.told) return;  // its connection was closed before
+  if (found == attempts_.end() || found->second.ended) return;  // its connection was closed before
   Attempt& attempt = found->second;
   Converter& converter = *converters_[attempt.converter];
   const int zone = listed_[attempt.converter].zone;
@@ -56,7 +56,7 @@
 void World::Leaves(TimePoint now, JobId id, Outcome outcome) {
   Attempt& attempt = attempts_.at(id);
   attempt.at_converter = false;
-  if (!attempt.told) {
+  if (!attempt.ended) {
     const int zone = listed_[attempt.converter].zone, proxy = proxies_[attempt.proxy].zone;
     if (!Cut(zone, proxy))
       queue_.At(now + Duration(Between(proxy, zone)), this, kAttemptEnds, id,
@@ -106,9 +106,9 @@
       held_back_.emplace_back(i, changes_.size() - 1);
       continue;
     }
-    proxies_[i].told_until =
-        std::max(proxies_[i].told_until, now + Duration(model_.network.lag.Draw(lists_)));
-    queue_.At(proxies_[i].told_until, this, kTold, i, changes_.size() - 1);
+    proxies_[i].listed_until =
+        std::max(proxies_[i].listed_until, now + Duration(model_.network.lag.Draw(lists_)));
+    queue_.At(proxies_[i].listed_until, this, kListArrives, i, changes_.size() - 1);
   }
 }
 
--- a/src/lab/world_happenings.cpp
+++ b/src/lab/world_happenings.cpp
@@ -59,7 +59,7 @@
   stale_lists_ = stale;
   if (!stale_lists_) {
     for (const auto& [proxy, change] : std::exchange(held_back_, {}))
-      queue_.At(now, this, kTold, proxy, change);
+      queue_.At(now, this, kListArrives, proxy, change);
   }
 }
 
--- a/src/lab/world_proxies.cpp
+++ b/src/lab/world_proxies.cpp
@@ -16,7 +16,7 @@
   Trace& trace = found->second;
   Proxy& proxy = proxies_[trace.proxy];
   if (!proxy.alive() || trace.left) return;  // reset; the client's time ends it
-  trace.life = proxy.life;
+  trace.incarnation = proxy.incarnation;
   const ClassModel& cls = model_.classes[static_cast<std::size_t>(trace.request_class)];
   Submit submit;
   submit.due = trace.due;
@@ -61,7 +61,7 @@
   const auto wake = proxy.core->NextWake();
   if (wake && (!proxy.wake || *wake < *proxy.wake)) {
     proxy.wake = wake;
-    queue_.At(*wake, this, kWake, index, proxy.life);
+    queue_.At(*wake, this, kWake, index, proxy.incarnation);
   }
 }
 
@@ -73,7 +73,7 @@
   const auto converter = static_cast<std::size_t>(send.server - 1);
   Attempt attempt;
   attempt.proxy = index;
-  attempt.life = proxy.life;
+  attempt.incarnation = proxy.incarnation;
   attempt.trace = traced->second;
   attempt.converter = converter;
   attempt.converter_since = converters_[converter]->up_since();
@@ -83,9 +83,9 @@
   ++trace.attempts_out, ++trace.records;
   ++result_.attempts;
   proxy.newest[send.request] = id;
-  const auto off = proxy.told_off.find(send.server);
+  const auto off = proxy.draining_since.find(send.server);
   referee_.Sent(now, queue_.steps(), trace,
-                off == proxy.told_off.end() ? std::nullopt : std::optional<TimePoint>(off->second),
+                off == proxy.draining_since.end() ? std::nullopt : std::optional<TimePoint>(off->second),
                 static_cast<std::uint32_t>(converter));
   attempt.on_idle = proxy.idle[converter] > 0;
   const int zone = listed_[converter].zone;
@@ -113,19 +113,19 @@
 
 void World::EndAttempt(TimePoint now, std::uint64_t id, Outcome outcome) {
   const auto found = attempts_.find(id);
-  if (found == attempts_.end() || found->second.told) return;
+  if (found == attempts_.end() || found->second.ended) return;
   Attempt& attempt = found->second;
-  attempt.told = true;
+  attempt.ended = true;
   Proxy& proxy = proxies_[attempt.proxy];
   const std::size_t index = attempt.proxy;
   const exchange::Send send = attempt.send;
-  const bool same_life = proxy.life == attempt.life;
+  const bool same_incarnation = proxy.incarnation == attempt.incarnation;
   const std::uint64_t trace = attempt.trace;
   --traces_.at(trace).attempts_out;
   // A connection is kept where its answer came whole.
   const bool kept = outcome == Outcome::kOk || outcome == Outcome::kError || outcome == Outcome::kFull;
-  if (same_life && kept && proxy.idle[attempt.converter] < 16) ++proxy.idle[attempt.converter];
-  if (same_life && members_) {
+  if (same_incarnation && kept && proxy.idle[attempt.converter] < 16) ++proxy.idle[attempt.converter];
+  if (same_incarnation && members_) {
     const Converter& converter = *converters_[attempt.converter];
     const bool heard = outcome == Outcome::kOk || outcome == Outcome::kError || outcome == Outcome::kFull;
     members_->Ended(now, index, id, traces_.at(trace).request_class, outcome, now - send.at,
@@ -133,7 +133,7 @@
                     heard ? static_cast<double>(converter.running()) / model_.converter.slots : -1);
   }
   if (!attempt.at_converter) Forget(id);
-  if (same_life) {
+  if (same_incarnation) {
     proxy.newest.erase(send.request);
     proxy.core->Ended(now, send, outcome, &proxy.actions);
     Carry(now, index);
@@ -141,14 +141,14 @@
   Release(trace);
 }
 
-void World::Tell(TimePoint now, std::size_t index, std::uint64_t change) {
+void World::DeliverChange(TimePoint now, std::size_t index, std::uint64_t change) {
   Proxy& proxy = proxies_[index];
   if (!proxy.alive()) return;
   const ServerEntry& entry = changes_[change];
   if (entry.state == ServerState::kReady) {
-    proxy.told_off.erase(entry.server);
+    proxy.draining_since.erase(entry.server);
   } else {
-    proxy.told_off.emplace(entry.server, now);
+    proxy.draining_since.emplace(entry.server, now);
     proxy.idle[entry.server - 1] = 0;
   }
   if (members_) members_->Listed(index, Warm(now));
@@ -156,9 +156,9 @@
   Carry(now, index);
 }
 
-void World::Wake(TimePoint now, std::size_t index, std::uint64_t life) {
+void World::Wake(TimePoint now, std::size_t index, std::uint64_t incarnation) {
   Proxy& proxy = proxies_[index];
-  if (proxy.life != life || !proxy.wake || *proxy.wake > now) return;
+  if (proxy.incarnation != incarnation || !proxy.wake || *proxy.wake > now) return;
   proxy.wake.reset();
   proxy.core->Wake(now, &proxy.actions);
   Carry(now, index);
@@ -167,7 +167,7 @@
 void World::Kill(TimePoint now, std::size_t index) {
   Proxy& proxy = proxies_[index];
   if (!proxy.alive()) return;
-  ++proxy.life;
+  ++proxy.incarnation;
   proxy.core.reset();
   proxy.actions.clear();
   proxy.traces.clear();
@@ -180,16 +180,16 @@
 void World::Revive(TimePoint now, std::size_t index) {
   Proxy& proxy = proxies_[index];
   if (proxy.alive()) return;
-  ++proxy.life;
+  ++proxy.incarnation;
   proxy.core =
-      factory_(model_.SettingsOf(static_cast<int>(index)), seed_ * 1000003 + index * 101 + proxy.life);
-  proxy.told_off.clear();
+      factory_(model_.SettingsOf(static_cast<int>(index)), seed_ * 1000003 + index * 101 + proxy.incarnation);
+  proxy.draining_since.clear();
   proxy.idle.assign(converters_.size(), 0);
-  proxy.told_until = now;
+  proxy.listed_until = now;
   ListUpdate list{ListKind::kFull, {}};
   for (const ServerEntry& entry : listed_) {
     if (entry.state != ServerState::kGone) list.entries.push_back(entry);
-    if (entry.state != ServerState::kReady) proxy.told_off.emplace(entry.server, now);
+    if (entry.state != ServerState::kReady) proxy.draining_since.emplace(entry.server, now);
   }
   proxy.core->List(now, std::move(list), &proxy.actions);
   Carry(now, index);
--- a/src/lab/world_types.h
+++ b/src/lab/world_types.h
@@ -20,27 +20,27 @@
 
 struct World::Proxy {
   int zone = 0;
-  std::uint32_t life = 0;  // counts its starts; even: it is dead
+  std::uint32_t incarnation = 0;  // counts its starts; even: it is dead
   std::unique_ptr<Core> core;
   Core::Actions actions;
   bool carrying = false;
   std::optional<TimePoint> wake;
-  std::unordered_map<fordlb::RequestId, std::uint64_t> traces;  // its own numbers
-  std::unordered_map<fordlb::RequestId, std::uint64_t> newest;  // attempt of each, while it is out
-  std::unordered_map<fordlb::ServerId, TimePoint> told_off;     // since when not to send there
-  std::vector<std::uint16_t> idle;                              // connections to each converter
-  TimePoint told_until{};                                       // lists reach it in order
-  bool alive() const { return life % 2 == 1; }
+  std::unordered_map<fordlb::RequestId, std::uint64_t> traces;     // its own numbers
+  std::unordered_map<fordlb::RequestId, std::uint64_t> newest;     // attempt of each, while it is out
+  std::unordered_map<fordlb::ServerId, TimePoint> draining_since;  // since when not to send there
+  std::vector<std::uint16_t> idle;                                 // connections to each converter
+  TimePoint listed_until{};                                        // lists reach it in order
+  bool alive() const { return incarnation % 2 == 1; }
 };
 
 struct World::Attempt {
   std::size_t proxy = 0;
-  std::uint32_t life = 0;
+  std::uint32_t incarnation = 0;
   std::uint64_t trace = 0;
   std::size_t converter = 0;
   TimePoint converter_since{};  // of the process that it was sent to
   exchange::Send send;
-  bool told = false;  // its end, to the proxy
+  bool ended = false;  // and its proxy knows it
   bool at_converter = false;
   bool on_idle = false;  // on a connection that was there
   TimePoint written{};   // when its connection is up and the request goes out
--- a/tests/together/trial.h
+++ b/tests/together/trial.h
@@ -84,7 +84,7 @@
     std::unique_ptr<Child> process;
     double down_since = -1, frozen_since = -1;
     double term_at = -1;  // asked to end, and to be started again once it has
-    int lives = 0;
+    int starts = 0;
   };
   struct Due {
     double at = 0;
--- a/tests/together/trial_files.cpp
+++ b/tests/together/trial_files.cpp
@@ -16,7 +16,7 @@
   json::array classes, zones, known;
   // As it had the list last, if it had one.
   for (const Converter& c : converters_) {
-    if (proxy.lives > 1 && c.status != "Gone")
+    if (proxy.starts > 1 && c.status != "Gone")
       known.push_back(json::object{{"name", c.name},
                                    {"address", c.relayed[static_cast<std::size_t>(proxy.zone)]},
                                    {"zone", ZoneName(c.zone)},
@@ -43,7 +43,7 @@
       {"name", proxy.name},
       {"listen", proxy.listen},
       {"discovery", proxy.discovery},
-      {"seed", std::to_string(100 + seed_ % 1000 * 100 + static_cast<std::uint64_t>(me + proxy.lives * 10))},
+      {"seed", std::to_string(100 + seed_ % 1000 * 100 + static_cast<std::uint64_t>(me + proxy.starts * 10))},
       {"known", json::object{{"index", 0}, {"snapshot", true}, {"endpoints", std::move(known)}}},
       {"limits", json::object{{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}},
       {"settings",
--- a/tests/together/trial_processes.cpp
+++ b/tests/together/trial_processes.cpp
@@ -186,7 +186,7 @@
 }
 
 void Trial::StartProxy(Proxy& proxy) {
-  ++proxy.lives;
+  ++proxy.starts;
   ++processes_;
   const std::string path = Path(proxy, ".json");
   std::ofstream(path, std::ios::trunc) << Config(proxy);
--- a/tests/together/verdict_test.cpp
+++ b/tests/together/verdict_test.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 // Classes 0 safe, 1 keyed, 2 unsafe; one request of each, served.
-struct Case {
+struct Fixture {
   Rules rules{{Effect::kSafe, Effect::kKeyed, Effect::kUnsafe},
               {1, 3, 5},
               {500, 500, 500},
@@ -17,7 +17,7 @@
               500,
               100};
   History history;
-  Case() {
+  Fixture() {
     Ask("r1", 0);
     Ask("r2", 1);
     Ask("r3", 2);
@@ -39,7 +39,7 @@
 };
 
 TEST(TrialVerdict, WhatIsInOrderHolds) {
-  Case c;
+  Fixture c;
   c.Ran("r1", "", "c2");  // a safe one may run twice
   const Verdict v = c.Pass();
   EXPECT_TRUE(v.holds()) << (v.breaches.empty() ? "" : v.breaches[0]);
@@ -48,7 +48,7 @@
 }
 
 TEST(TrialVerdict, ALostRequestIsFoundUnlessItsProxyWasKilled) {
-  Case c;
+  Fixture c;
   c.history.asked[1].end = Asked::End::kLost;
   EXPECT_EQ(c.Pass().lost, 1u);
   c.history.excuses.push_back({"n2", 900, 2000});
@@ -59,22 +59,22 @@
 }
 
 TEST(TrialVerdict, SecondEffectsAreFoundByIdAndByKey) {
-  Case c;
+  Fixture c;
   c.Ran("r3", "", "c1");
   EXPECT_EQ(c.Pass().twice, 1u);
-  Case d;
+  Fixture d;
   d.Ran("r2", "k2", "c9", 1010, "z1/0");
   EXPECT_EQ(d.Pass().twice, 1u);
 }
 
 TEST(TrialVerdict, ARefusalOfWhatRanIsFound) {
-  Case c;
+  Fixture c;
   c.history.asked[2].end = Asked::End::kRefused;
   EXPECT_EQ(c.Pass().twice, 1u);
 }
 
 TEST(TrialVerdict, ALateSendIsFoundFromWhatThatProxyWasTold) {
-  Case c;
+  Fixture c;
   c.history.told = {{"n1", "c2", true, 0}, {"n1", "c2", false, 300}};
   EXPECT_EQ(c.Pass().late_sends, 1u);
   c.history.told[1].at = 500;  // 505 ms: within grace and slack
@@ -91,7 +91,7 @@
 // gets, or got before it started, is no matter.
 TEST(TrialVerdict, AColdConverterIsHeldToTheSumOfAllProxies) {
   const auto pass = [](int calls, double from, double apart) {
-    Case c;
+    Fixture c;
     c.rules.window = 1000;
     c.rules.warm_up = 10000;
     c.rules.cold_budget = [](double) { return 9.0; };
@@ -117,7 +117,7 @@
 }
 
 TEST(TrialVerdict, AnswersFallsAndWhatIsUnaccountedForAreCounted) {
-  Case c;
+  Fixture c;
   c.history.asked[0].doubled = true;
   c.history.fell.push_back("c1");
   c.history.wanted = 4;
