--- a/tests/node_process_test.cpp
+++ b/tests/node_process_test.cpp
@@ -115,6 +115,22 @@
   }
 }
 
+#ifdef BADGERBRIDGE_HAS_ETCD
+// It says so before anything else, and goes on: here to a configuration that is none.
+TEST(NodeProcess, AFormerKeyInTheOperatorsFileIsOneLineOfWarning) {
+  Program program("{", OwnAddress(), 0,
+                  "[regions]\nendpoints = [\"127.0.0.1:1\"]\nzones = [\"a\"]\nbeat = \"300ms\"\n");
+  EXPECT_EQ(program.Wait(), 1);
+  const std::string log = program.Log();
+  EXPECT_NE(
+      log.find("op.toml:4:8: warning: regions.beat is now called regions.heartbeat; the former name still "
+               "works\nbadgerbridge: "),
+      std::string::npos)
+      << log;
+  EXPECT_EQ(std::count(log.begin(), log.end(), '\n'), 2) << log;
+}
+#endif
+
 TEST(NodeProcess, AnAddressThatIsNotItsOwnIsAPlainLine) {
   Program program(ConfigJson({}), "192.0.2.1:8080");
   EXPECT_EQ(program.Wait(), 1);
