--- a/bench/slopes_regions.cpp
+++ b/bench/slopes_regions.cpp
@@ -53,7 +53,7 @@
   response.mutable_header()->set_revision(reply.revision);
   response.mutable_header()->set_raft_term(7);
   response.set_succeeded(reply.held);
-  if (!std::holds_alternative<Member::Beat>(call)) return response;
+  if (!std::holds_alternative<Member::Heartbeat>(call)) return response;
   response.add_responses()->mutable_response_put()->mutable_header()->set_revision(reply.revision);
   for (const regions::Kv& kv : reply.kvs) {
     auto* range = response.add_responses()->mutable_response_range();
@@ -85,10 +85,10 @@
     out = app::ToEtcd(*keep).ByteSizeLong();
     in = 40;
   } else {
-    if (const auto* heartbeat = std::get_if<Member::Beat>(&call))
+    if (const auto* heartbeat = std::get_if<Member::Heartbeat>(&call))
       out = app::ToEtcd(*heartbeat, kPrefix, name).ByteSizeLong();
-    if (const auto* stand = std::get_if<Member::Stand>(&call))
-      out = app::ToEtcd(*stand, kPrefix, name).ByteSizeLong();
+    if (const auto* campaign = std::get_if<Member::Campaign>(&call))
+      out = app::ToEtcd(*campaign, kPrefix, name).ByteSizeLong();
     if (const auto* propose = std::get_if<Member::Propose>(&call))
       out = app::ToEtcd(*propose, kPrefix).ByteSizeLong();
     in = ResponseOf(call, reply).ByteSizeLong();
@@ -108,7 +108,7 @@
       settings.zone = i % zones;
       settings.rules = RulesOf(zones);
       settings.classes = 3;
-      settings.beat = Duration(kHeartbeatMs);
+      settings.heartbeat = Duration(kHeartbeatMs);
       names_.push_back(settings.name);
       members_.push_back(std::make_unique<Member>(std::move(settings), static_cast<std::uint64_t>(i + 1)));
       members_.back()->Listed(
