Follow only the services that the operator's file names

A proxy held every converter under the prefix, 110,000 in the size that is planned for, whatever it serves. With services = ["billing", …] in [etcd] it follows only the keys under /badgerbridge/services/SERVICE/, at most 256 services, and is ready once all of them are whole. Without it the flat prefix goes on as it was.

One follower with several sections: one connection, one stream, a watch for each.

A name belongs to one service: the first known stays, the other is a problem in words; one that moved between services while the watch was down is no clash. badgerctl members shows the service; drain, undrain and register take SERVICE/NAME. The operator's file is not read again on SIGHUP today, so a change of services needs a restart.

Tests: sections in the core (order, resume of each, progress of one and of all, an unknown watch), the ledger (pages by service, versions, clash, move), against the stand-in over sockets (only the named ones, resume, compaction, clash, cuts at random bytes), the file's checks, the tool.

--- a/src/app/membership_source.cpp
+++ b/src/app/membership_source.cpp
@@ -223,7 +223,8 @@
                                    {"revision", believed.version},
                                    {"age_ms", (now - believed.changed).count()},
                                    {"held", believed.held},
-                                   {"address", believed.member->address}});
+                                   {"address", believed.member->address},
+                                   {"service", believed.member->service}});
   }
   for (const std::size_t i : {etcd_, discovery_}) {
     json::object problems;
--- a/src/ctl/etcd_commands.cpp
+++ b/src/ctl/etcd_commands.cpp
@@ -24,6 +24,11 @@
 
 constexpr int kMostSwaps = 20;  // where others write the same key all the time
 
+// What stands before a member's name in its key; with services, the name is SERVICE/NAME.
+const std::string& KeysPrefix(const operator_file::Etcd& etcd) {
+  return etcd.services.empty() ? etcd.prefix : etcd.services_prefix;
+}
+
 struct Outcome {
   std::string result, text;
   int code = kAllDid;
@@ -90,7 +95,7 @@
     for (const std::string& name : names) {
       const auto began = Clock::now();
       Outcome outcome = Failed(kSomeDidNot, "the call could not be made");
-      asio::co_spawn(io, Change(client, command.etcd.prefix + name, state, command.dry_run, timeout),
+      asio::co_spawn(io, Change(client, KeysPrefix(command.etcd) + name, state, command.dry_run, timeout),
                      [&](std::exception_ptr failure, Outcome answer) {
                        if (!failure) outcome = std::move(answer);
                        io.stop();
@@ -116,7 +121,17 @@
 
 int RegisterMember(const EtcdCommand& command, membership::RegistrationSettings settings, std::ostream& err) {
   asio::io_context io(1);
-  settings.prefix = command.etcd.prefix;
+  settings.prefix = KeysPrefix(command.etcd);
+  if (!command.etcd.services.empty()) {
+    const std::string named = settings.member.name;
+    const std::size_t slash = named.find('/');
+    if (slash == std::string::npos || slash == 0 || slash + 1 == named.size()) {
+      err << "badgerctl: the operator's file names services; SERVICE/" << named << " would be right\n";
+      return kUsage;
+    }
+    settings.prefix += named.substr(0, slash + 1);
+    settings.member.name = named.substr(slash + 1);
+  }
   try {
     std::random_device random;
     bool registered = false;
--- a/src/ctl/members.cpp
+++ b/src/ctl/members.cpp
@@ -35,7 +35,8 @@
   const View view = Look(selection);
   int code = view.code;
   json::array all;
-  Table table({"INSTANCE", "CONVERTER", "STATE", "WHY", "REVISION", "SINCE", "ADDRESS"}, settings_.color);
+  Table table({"INSTANCE", "CONVERTER", "STATE", "WHY", "REVISION", "SINCE", "ADDRESS", "SERVICE"},
+              settings_.color);
   std::string below;
   const bool several = settings_.agents.size() > 1;
   for (const View::Line& line : view.lines) {
@@ -59,7 +60,7 @@
       const json::object& member = item.get_object();
       table.Add({name, Text(member, "name"), Text(member, "state") + (Flag(member, "held") ? " HELD" : ""),
                  Text(member, "why"), std::to_string(Whole(member, "revision")), Age(Whole(member, "age_ms")),
-                 Text(member, "address")});
+                 Text(member, "address"), Text(member, "service")});
     }
     below += name + ": " + Sources(body) + "\n";
     if (const std::int64_t held = Whole(body, "held"); held > 0)
--- a/src/etcd/follower.cpp
+++ b/src/etcd/follower.cpp
@@ -17,11 +17,19 @@
       random_(seed),
       backoff_(settings_.first_backoff),
       step_timeout_(settings_.call_timeout) {
+  for (const std::string& section : settings_.sections) sections_.push_back({settings_.prefix + section});
+  if (sections_.empty()) sections_.push_back({settings_.prefix});
   endpoint_order_.resize(settings_.endpoints);
   std::iota(endpoint_order_.begin(), endpoint_order_.end(), std::size_t{0});
   std::shuffle(endpoint_order_.begin(), endpoint_order_.end(), random_);
 }
 
+std::int64_t Follower::revision() const {
+  const auto lowest = std::min_element(sections_.begin(), sections_.end(),
+                                       [](const auto& a, const auto& b) { return a.revision < b.revision; });
+  return lowest->revision;
+}
+
 std::string_view Follower::state() const {
   constexpr std::string_view kNames[] = {"waiting", "connecting", "authenticating",
                                          "asking",  "listing",    "watching"};
@@ -33,7 +41,6 @@
   wake_ = now + step_timeout_;
   step_began_ = now;
   longest_step_ = Time(0);
-  fragments_.clear();
   progress_requested_ = false;
   established_ = false;
   actions->push_back(Connect{endpoint_order_[endpoint_]});
@@ -131,7 +138,13 @@
   known_ = false;  // pages of it may be given, and the rest not: then only another snapshot will do
   snapshot_revision_ = 0;
   snapshot_bytes_ = 0;
-  RequestPage(now, settings_.prefix, actions);
+  snapshot_section_ = 0;
+  RequestFirstPage(now, actions);
+}
+
+// Of the section.
+void Follower::RequestFirstPage(Time now, Actions* actions) {
+  RequestPage(now, sections_[snapshot_section_].prefix, actions);
 }
 
 // The page that starts at `key`: the first at the newest revision, the others at the first one's.
@@ -139,7 +152,7 @@
   wake_ = now + settings_.call_timeout;
   Range range;
   range.request.set_key(std::move(key));
-  range.request.set_range_end(PrefixRangeEnd(settings_.prefix));
+  range.request.set_range_end(PrefixRangeEnd(sections_[snapshot_section_].prefix));
   range.request.set_limit(settings_.page_size);
   range.request.set_revision(snapshot_revision_);
   actions->push_back(std::move(range));
@@ -156,7 +169,10 @@
   if (state_ == State::kListing) return TakePage(now, std::move(response), actions);
   StepCompleted(now);
   const pb::ResponseHeader& header = response.header();
-  const bool replaced = header.cluster_id() != cluster_id_ || header.revision() < revision_;
+  const bool replaced = header.cluster_id() != cluster_id_ ||
+                        std::any_of(sections_.begin(), sections_.end(), [&](const Section& section) {
+                          return header.revision() < section.revision;
+                        });
   if (replaced) return StartSnapshot(now, actions);
   ++resumes_;
   StartWatch(now, actions);
@@ -176,20 +192,27 @@
     return Fail(now, "a list of more than " + std::to_string(settings_.max_snapshot_bytes) + " bytes",
                 actions);
   }
-  const bool last = !response.more() || response.kvs_size() == 0;
+  const Section& section = sections_[snapshot_section_];
+  const bool ends_section = !response.more() || response.kvs_size() == 0;
+  const bool last = ends_section && snapshot_section_ + 1 == sections_.size();
   std::string next_key;
-  if (!last) next_key = response.kvs(response.kvs_size() - 1).key() + std::string(1, '\0');
-  SnapshotPage page{snapshot_cluster_id_, snapshot_revision_, first, last, {}};
+  if (!ends_section) next_key = response.kvs(response.kvs_size() - 1).key() + std::string(1, '\0');
+  SnapshotPage page{snapshot_cluster_id_, snapshot_revision_, first, last, {},
+                    snapshot_section_,    ends_section};
   page.kvs.reserve(static_cast<std::size_t>(response.kvs_size()));
   for (pb::KeyValue& kv : *response.mutable_kvs()) {
-    if (HasPrefix(kv.key())) page.kvs.push_back(std::move(kv));
+    if (section.Holds(kv.key())) page.kvs.push_back(std::move(kv));
   }
   actions->push_back(std::move(page));
-  if (!last) return RequestPage(now, std::move(next_key), actions);
+  if (!ends_section) return RequestPage(now, std::move(next_key), actions);
+  if (!last) {
+    ++snapshot_section_;
+    return RequestFirstPage(now, actions);
+  }
   ++snapshots_;
   known_ = true;
   cluster_id_ = snapshot_cluster_id_;
-  revision_ = snapshot_revision_;
+  for (Section& each : sections_) each.revision = snapshot_revision_;
   StartWatch(now, actions);
 }
 
@@ -197,15 +220,32 @@
   state_ = State::kWatching;
   wake_ = now + settings_.max_silence;
   progress_requested_ = false;
-  fragments_.clear();
-  Watch watch;
-  auto* create = watch.request.mutable_create_request();
-  create->set_key(settings_.prefix);
-  create->set_range_end(PrefixRangeEnd(settings_.prefix));
-  create->set_start_revision(revision_ + 1);
+  for (Section& section : sections_) {
+    section.fragments.clear();
+    section.watched = false;
+  }
+  actions->push_back(Watch{CreateRequest(0)});
+  for (std::size_t i = 1; i < sections_.size(); ++i) actions->push_back(AddWatch{CreateRequest(i)});
+}
+
+pb::WatchRequest Follower::CreateRequest(std::size_t section) const {
+  pb::WatchRequest request;
+  auto* create = request.mutable_create_request();
+  create->set_key(sections_[section].prefix);
+  create->set_range_end(PrefixRangeEnd(sections_[section].prefix));
+  create->set_start_revision(sections_[section].revision + 1);
   create->set_progress_notify(true);
   create->set_fragment(true);
-  actions->push_back(std::move(watch));
+  // A single watch takes whatever id the server gives.
+  if (sections_.size() > 1) create->set_watch_id(static_cast<std::int64_t>(section) + 1);
+  return request;
+}
+
+// Null: none of ours.
+Follower::Section* Follower::SectionOf(std::int64_t watch_id) {
+  if (sections_.size() == 1) return &sections_.front();
+  if (watch_id < 1 || watch_id > static_cast<std::int64_t>(sections_.size())) return nullptr;
+  return &sections_[static_cast<std::size_t>(watch_id - 1)];
 }
 
 void Follower::WatchReceived(Time now, pb::WatchResponse response, Actions* actions) {
@@ -222,43 +262,59 @@
     }
     return Fail(now, "the watch was cancelled: " + response.cancel_reason(), actions);
   }
-  if (response.created()) {
-    established_ = true;
-    backoff_ = settings_.first_backoff;
-    failures_ = 0;
-    step_timeout_ = std::clamp(longest_step_ * 2, settings_.min_step_timeout, settings_.call_timeout);
-    actions->push_back(Progress{revision_});
-    return;
-  }
-  if (fragments_.size() + static_cast<std::size_t>(response.events_size()) > settings_.max_buffered_events)
+  Section* section = SectionOf(response.watch_id());
+  if (section && response.created()) return WatchCreated(*section, actions);
+  const bool progress =
+      response.events_size() == 0 && !response.fragment() && (!section || section->fragments.empty());
+  if (progress) return TakeProgress(response.watch_id(), response.header().revision(), actions);
+  if (!section) return Fail(now, "events of a watch that was not asked for", actions);
+  const std::size_t buffered = section->fragments.size() + static_cast<std::size_t>(response.events_size());
+  if (buffered > settings_.max_buffered_events)
     return Fail(now, "more events of one revision than are taken", actions);
   std::move(response.mutable_events()->begin(), response.mutable_events()->end(),
-            std::back_inserter(fragments_));
-  if (response.fragment()) return;
-  ApplyEvents(now, response.header().revision(), actions);
+            std::back_inserter(section->fragments));
+  if (!response.fragment()) ApplyEvents(now, *section, actions);
 }
 
-// All that has come, up to the end of a revision. Without events it is progress: nothing up to the header's
-// revision is under way.
-void Follower::ApplyEvents(Time now, std::int64_t header_revision, Actions* actions) {
-  if (fragments_.empty()) {
-    revision_ = std::max(revision_, header_revision);
-    actions->push_back(Progress{revision_});
-    return;
+void Follower::WatchCreated(Section& section, Actions* actions) {
+  section.watched = true;
+  const bool all =
+      std::all_of(sections_.begin(), sections_.end(), [](const Section& each) { return each.watched; });
+  if (!all) return;
+  established_ = true;
+  backoff_ = settings_.first_backoff;
+  failures_ = 0;
+  step_timeout_ = std::clamp(longest_step_ * 2, settings_.min_step_timeout, settings_.call_timeout);
+  actions->push_back(Progress{revision()});
+}
+
+// Nothing up to the revision is under way: for one watch, or, where the id is none of ours, for all of them.
+void Follower::TakeProgress(std::int64_t watch_id, std::int64_t revision, Actions* actions) {
+  const Section* one = SectionOf(watch_id);
+  for (Section& section : sections_) {
+    const bool meant = !one || one == &section;
+    if (meant && section.watched && section.fragments.empty())
+      section.revision = std::max(section.revision, revision);
   }
-  Events applied{cluster_id_, revision_, {}};
-  for (pb::Event& event : std::exchange(fragments_, {})) {
+  actions->push_back(Progress{this->revision()});
+}
+
+// All that has come, up to the end of a revision.
+void Follower::ApplyEvents(Time now, Section& section, Actions* actions) {
+  const auto index = static_cast<std::size_t>(&section - sections_.data());
+  Events applied{cluster_id_, section.revision, {}, index};
+  for (pb::Event& event : std::exchange(section.fragments, {})) {
     const std::int64_t revision = event.kv().mod_revision();
     if (revision < applied.revision) return Fail(now, "events out of their order", actions);
-    if (revision <= revision_) continue;  // known already
+    if (revision <= section.revision) continue;  // known already
     applied.revision = revision;
-    if (HasPrefix(event.kv().key())) applied.events.push_back(std::move(event));
+    if (section.Holds(event.kv().key())) applied.events.push_back(std::move(event));
   }
-  if (applied.revision == revision_) {
-    actions->push_back(Progress{revision_});
+  if (applied.revision == section.revision) {
+    actions->push_back(Progress{revision()});
     return;
   }
-  revision_ = applied.revision;
+  section.revision = applied.revision;
   actions->push_back(std::move(applied));
 }
 
--- a/src/etcd/follower.h
+++ b/src/etcd/follower.h
@@ -10,6 +10,9 @@
 // read; otherwise the watch resumes after the last revision applied. A watch that is cancelled because its
 // start revision was compacted leads to a new snapshot. Events are given in whole revisions, in order, their
 // fragments joined, none twice.
+//
+// Of a prefix with sections only these are followed: read one after the other at one revision, and watched by
+// one watch each on one stream. Order holds within a section; etcd gives none between watches.
 #ifndef BADGERBRIDGE_ETCD_FOLLOWER_H_
 #define BADGERBRIDGE_ETCD_FOLLOWER_H_
 
@@ -31,6 +34,9 @@
   using Time = std::chrono::milliseconds;
 
   std::string prefix;
+  // Only the keys under prefix + section, for each of these; empty: all under the prefix. None may be the
+  // beginning of another.
+  std::vector<std::string> sections;
   std::size_t endpoints = 1;     // how many there are; the first is drawn at random
   std::int64_t page_size = 250;  // keys; one page is handled at a time
   bool authenticate = false;
@@ -64,6 +70,9 @@
   struct Watch {  // replaces the watch there is
     etcdserverpb::WatchRequest request;
   };
+  struct AddWatch {  // another one on the stream of Watch
+    etcdserverpb::WatchRequest request;
+  };
   struct RequestProgress {};
   struct Close {
     std::string why;
@@ -77,12 +86,15 @@
     std::int64_t revision;
     bool first, last;
     std::vector<etcdserverpb::KeyValue> kvs;
+    std::size_t section = 0;  // index in the settings' sections; 0 without sections
+    bool ends_section = false;
   };
-  // All events after the revision so far, up to and including `revision`.
+  // All events of the section after its revision so far, up to and including `revision`.
   struct Events {
     std::uint64_t cluster_id;
     std::int64_t revision;
     std::vector<etcdserverpb::Event> events;
+    std::size_t section = 0;
   };
   // The watch is alive, and nothing up to `revision` is still under way.
   struct Progress {
@@ -92,8 +104,8 @@
   struct Disconnected {
     std::string why;
   };
-  using Action = std::variant<Connect, Authenticate, Range, Watch, RequestProgress, Close, SnapshotPage,
-                              Events, Progress, Disconnected>;
+  using Action = std::variant<Connect, Authenticate, Range, Watch, AddWatch, RequestProgress, Close,
+                              SnapshotPage, Events, Progress, Disconnected>;
   using Actions = std::vector<Action>;
 
   Follower(FollowerSettings settings, std::uint64_t seed);
@@ -109,7 +121,7 @@
 
   Time NextWake() const { return wake_; }
   std::uint64_t cluster_id() const { return cluster_id_; }
-  std::int64_t revision() const { return revision_; }     // all up to it was given
+  std::int64_t revision() const;                          // all up to it was given
   std::uint64_t snapshots() const { return snapshots_; }  // read whole
   std::uint64_t resumes() const { return resumes_; }      // watches that went on after the last revision
   std::string_view state() const;
@@ -130,8 +142,20 @@
   void Fail(Time now, const std::string& why, Actions* actions, Code code = Code::kUnavailable);
   Time DrawPause(Code code);
   std::uint64_t DrawUpTo(std::uint64_t limit) { return random_() % (limit + 1); }
-  void ApplyEvents(Time now, std::int64_t header_revision, Actions* actions);
-  bool HasPrefix(const std::string& key) const { return key.rfind(settings_.prefix, 0) == 0; }
+  struct Section {
+    std::string prefix;
+    std::int64_t revision = 0;
+    bool watched = false;  // the watch is established
+    std::vector<etcdserverpb::Event> fragments = {};
+
+    bool Holds(const std::string& key) const { return key.rfind(prefix, 0) == 0; }
+  };
+  void RequestFirstPage(Time now, Actions* actions);
+  Section* SectionOf(std::int64_t watch_id);
+  void WatchCreated(Section& section, Actions* actions);
+  void TakeProgress(std::int64_t watch_id, std::int64_t revision, Actions* actions);
+  void ApplyEvents(Time now, Section& section, Actions* actions);
+  etcdserverpb::WatchRequest CreateRequest(std::size_t section) const;
 
   FollowerSettings settings_;
   std::mt19937_64 random_;
@@ -144,13 +168,13 @@
   std::size_t failures_ = 0;              // since a watch was established
   bool progress_requested_ = false;       // and nothing has come since
   bool established_ = false;              // a watch, on this connection
-  bool known_ = false;                    // a snapshot was read: cluster_id_ and revision_ mean something
+  bool known_ = false;                    // a snapshot was read: cluster_id_ and the revisions mean something
   std::uint64_t cluster_id_ = 0;
-  std::int64_t revision_ = 0;
+  std::vector<Section> sections_;       // at least one
+  std::size_t snapshot_section_ = 0;    // whose pages are being read
   std::int64_t snapshot_revision_ = 0;  // of the pages that are being read; 0: before the first
   std::uint64_t snapshot_cluster_id_ = 0;
   std::size_t snapshot_bytes_ = 0;
-  std::vector<etcdserverpb::Event> fragments_;
   std::uint64_t snapshots_ = 0, resumes_ = 0;
   std::string last_error_;
 };
--- a/src/etcd/follower_link.cpp
+++ b/src/etcd/follower_link.cpp
@@ -150,6 +150,10 @@
   boost::asio::post(io_, [ended, refused] { ended(refused); });
 }
 
+void FollowerLink::Do(Follower::AddWatch& action) {
+  if (channel_ && watch_ >= 0) channel_->Send(watch_, action.request.SerializeAsString(), false);
+}
+
 void FollowerLink::Do(Follower::RequestProgress&) {
   pb::WatchRequest request;
   request.mutable_progress_request();
@@ -173,6 +177,7 @@
 }
 
 void FollowerLink::Do(Follower::Events& action) {
+  if (callbacks_.on_section_events) return callbacks_.on_section_events(std::move(action));
   if (callbacks_.on_events)
     callbacks_.on_events(action.cluster_id, action.revision, std::move(action.events));
 }
--- a/src/etcd/follower_link.h
+++ b/src/etcd/follower_link.h
@@ -38,6 +38,8 @@
   std::function<void(std::uint64_t cluster_id, std::int64_t revision,
                      std::vector<etcdserverpb::Event> events)>
       on_events;
+  // In place of on_events, for those who follow sections.
+  std::function<void(Follower::Events events)> on_section_events;
   std::function<void(std::int64_t revision)> on_progress;  // also when a watch is established
   // Once for each connection lost and each attempt that failed.
   std::function<void(const std::string& why)> on_disconnected;
@@ -69,6 +71,7 @@
   void Do(Follower::Authenticate& action);
   void Do(Follower::Range& action);
   void Do(Follower::Watch& action);
+  void Do(Follower::AddWatch& action);
   void Do(Follower::RequestProgress& action);
   void Do(Follower::Close& action);
   void Do(Follower::SnapshotPage& action);
--- a/src/membership/etcd_settings.cpp
+++ b/src/membership/etcd_settings.cpp
@@ -41,6 +41,7 @@
   EtcdSourceSettings settings;
   settings.endpoints = Endpoints(table);
   settings.follower.prefix = table.prefix;
+  if (!table.services.empty()) settings.FollowServices(table.services_prefix, table.services);
   settings.channel = Channel(table);
   if (table.user.empty()) return settings;
   settings.user = table.user;
--- a/src/membership/etcd_source.cpp
+++ b/src/membership/etcd_source.cpp
@@ -7,7 +7,7 @@
 
 EtcdSource::EtcdSource(boost::asio::io_context& io, const EtcdSourceSettings& settings, std::uint64_t seed,
                        OnReport on_report, OnAlive on_alive, OnProblem on_problem)
-    : feed_(settings.follower.prefix),
+    : feed_(settings.follower.prefix, settings.services),
       on_report_(std::move(on_report)),
       on_alive_(std::move(on_alive)),
       on_problem_(std::move(on_problem)),
@@ -16,10 +16,9 @@
         callbacks.on_snapshot_page = [this](const etcd::Follower::SnapshotPage& page) {
           Pass(feed_.Convert(page));
         };
-        callbacks.on_events = [this](std::uint64_t cluster_id, std::int64_t revision,
-                                     std::vector<etcdserverpb::Event> events) {
+        callbacks.on_section_events = [this](const etcd::Follower::Events& events) {
           on_alive_(Now());
-          Pass(feed_.Convert(etcd::Follower::Events{cluster_id, revision, std::move(events)}));
+          Pass(feed_.Convert(events));
         };
         callbacks.on_progress = [this](std::int64_t) { on_alive_(Now()); };
         return callbacks;
--- a/src/membership/etcd_source.h
+++ b/src/membership/etcd_source.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "etcd/follower_link.h"
 #include "membership/feed.h"
@@ -15,6 +16,15 @@
 
 struct EtcdSourceSettings : etcd::FollowerLinkSettings {
   EtcdSourceSettings() { follower.prefix = kConvertersPrefix; }
+
+  // Follows these services alone, whose keys are prefix + service + "/" + name.
+  void FollowServices(const std::string& prefix, const std::vector<std::string>& names) {
+    follower.prefix = prefix;
+    services = names;
+    for (const std::string& service : services) follower.sections.push_back(Feed::SectionOf(service));
+  }
+
+  std::vector<std::string> services;  // set by FollowServices
 };
 
 class EtcdSource {
--- a/src/membership/feed.h
+++ b/src/membership/feed.h
@@ -27,18 +27,23 @@
     Report report;
   };
 
+  // `services`: those of the follower's sections, in its order; empty: the prefix has the members themselves.
   // `source`: the index of these reports' source in the ledger.
-  explicit Feed(std::string prefix, std::size_t source = 0);
+  explicit Feed(std::string prefix, std::vector<std::string> services = {}, std::size_t source = 0);
+
+  static std::string SectionOf(const std::string& service) { return service + "/"; }
 
   Output Convert(const etcd::Follower::SnapshotPage& page) const;
   Output Convert(const etcd::Follower::Events& events) const;
 
  private:
-  std::string NameOf(const etcdserverpb::KeyValue& kv) const { return kv.key().substr(prefix_.size()); }
+  std::string ServiceOf(std::size_t section) const { return services_.empty() ? "" : services_[section]; }
+  std::string NameOf(const etcdserverpb::KeyValue& kv, std::size_t section) const;
   // Nothing if its value can't be read: then the last good entry stays.
-  std::optional<Member> Parse(const etcdserverpb::KeyValue& kv, Output* output) const;
+  std::optional<Member> Parse(const etcdserverpb::KeyValue& kv, std::size_t section, Output* output) const;
 
   std::string prefix_;
+  std::vector<std::string> services_;
   std::size_t source_;
 };
 
--- a/src/membership/ledger.cpp
+++ b/src/membership/ledger.cpp
@@ -74,7 +74,8 @@
   const bool same_history = view.reported && report.epoch == view.epoch;
   if (!same_history) return report.whole;  // changes to a list that is not known say nothing
   if (report.whole) return report.certain || report.version >= view.version;
-  return report.version > view.version;
+  const auto newest = view.service_versions.find(report.service);
+  return report.version > (newest != view.service_versions.end() ? newest->second : view.list_version);
 }
 
 void Ledger::AddTombstone(Time now, View& view, const MemberPtr& member, std::set<std::string>* touched) {
@@ -88,21 +89,26 @@
 // Compares what the source had with a page, over the names from the page before up to its last.
 void Ledger::FindUnlisted(View& view, const Report& report) {
   Listing& listing = *view.listing;
+  if (listing.service != report.service) {
+    listing.service = report.service;
+    listing.compared_up_to.clear();
+  }
   std::set<std::string_view> listed(report.unreadable.begin(), report.unreadable.end());
   for (const Member& member : report.members) {
     if (member.state != State::kGone) listed.insert(member.name);
   }
-  const bool first = report.page == Page::kOnly || report.page == Page::kFirst;
-  auto at = first ? view.members.begin() : view.members.upper_bound(listing.compared_up_to);
+  auto at = listing.compared_up_to.empty() ? view.members.begin()
+                                           : view.members.upper_bound(listing.compared_up_to);
   auto end = view.members.end();
-  if (!report.EndsList()) {
+  if (!report.EndsList() && !report.ends_service) {
     if (listed.empty() || *listed.rbegin() <= listing.compared_up_to) return;
     listing.compared_up_to = std::string(*listed.rbegin());
     end = view.members.upper_bound(listing.compared_up_to);
   }
   for (; at != end; ++at) {
     const MemberPtr& member = at->second;
-    if (member->state != State::kGone && !listed.count(member->name)) listing.unlisted.push_back(member);
+    const bool here = member->service == report.service && member->state != State::kGone;
+    if (here && !listed.count(member->name)) listing.unlisted.push_back(member);
   }
 }
 
@@ -116,34 +122,48 @@
   return true;
 }
 
+void Ledger::TakeMember(Time now, View& view, const Member& member, std::set<std::string>* touched) const {
+  if (Clashes(view, member)) {
+    const bool joins = member.state != State::kGone;
+    if (joins && view.listing && view.listing->postponed.size() < settings_.max_members)
+      view.listing->postponed.push_back(member);
+    return;
+  }
+  const auto found = view.members.find(member.name);
+  if (member.state == State::kGone) {
+    if (found != view.members.end()) AddTombstone(now, view, MemberPtr(found->second), touched);
+    return;
+  }
+  if (found != view.members.end() && *found->second == member) return;
+  if (Join(view, member)) {
+    touched->insert(member.name);
+  } else {
+    ++view.refused_joins;
+  }
+}
+
 bool Ledger::Apply(Time now, View& view, const Report& report, std::set<std::string>* touched) {
   if (!IsNews(view, report)) return false;
   if (report.whole && (report.page == Page::kOnly || report.page == Page::kFirst)) {
-    view.listing = Listing{report.epoch, report.version, "", {}};
+    view.listing.emplace();
+    view.listing->epoch = report.epoch;
+    view.listing->version = report.version;
+    view.listing->service = report.service;
     view.refused_joins = 0;
     view.refusal.clear();
   }
   if (report.whole) FindUnlisted(view, report);
+  std::vector<Member> postponed;
   if (report.EndsList()) {
     for (const MemberPtr& member : view.listing->unlisted) {
       const auto found = view.members.find(member->name);
       if (found != view.members.end()) AddTombstone(now, view, MemberPtr(found->second), touched);
     }
+    postponed = std::move(view.listing->postponed);
     view.listing.reset();
   }
-  for (const Member& member : report.members) {
-    const auto found = view.members.find(member.name);
-    if (member.state == State::kGone) {
-      if (found != view.members.end()) AddTombstone(now, view, MemberPtr(found->second), touched);
-      continue;
-    }
-    if (found != view.members.end() && *found->second == member) continue;
-    if (Join(view, member)) {
-      touched->insert(member.name);
-    } else {
-      ++view.refused_joins;
-    }
-  }
+  for (const Member& member : postponed) TakeMember(now, view, member, touched);
+  for (const Member& member : report.members) TakeMember(now, view, member, touched);
   if (view.refused_joins > 0) {
     view.refusal = std::to_string(view.refused_joins) + " members are refused: at most " +
                    std::to_string(settings_.max_members) + " are taken; drains and departures still count";
@@ -151,10 +171,31 @@
   if (view.listing) return true;  // the list is not whole yet
   view.reported = true;
   view.epoch = report.epoch;
-  view.version = report.version;
+  if (report.whole) {
+    view.service_versions.clear();
+    view.list_version = report.version;
+    view.version = report.version;
+  } else {
+    view.service_versions[report.service] = report.version;
+    view.version = std::max(view.version, report.version);
+  }
   return true;
 }
 
+bool Ledger::Clashes(View& view, const Member& member) {
+  if (member.service.empty()) return false;
+  const std::string key = member.service + "/" + member.name;
+  const auto found = view.members.find(member.name);
+  const bool clashes = found != view.members.end() && found->second->state != State::kGone &&
+                       found->second->service != member.service;
+  if (!clashes || member.state == State::kGone) {
+    view.problems.erase(key);
+  } else if (view.problems.size() < kMaxProblems) {
+    view.problems[key] = "the service " + found->second->service + " has a member of this name, which stays";
+  }
+  return clashes;
+}
+
 // The memory of departures is bounded in time and number; but one that still keeps a member out that the
 // authority lists stays.
 void Ledger::ForgetDepartures(Time now, View& view) {
--- a/src/membership/ledger.h
+++ b/src/membership/ledger.h
@@ -37,6 +37,7 @@
 // A converter, in discovery's terms.
 struct Member {
   std::string name, address, zone, kind;
+  std::string service;  // empty: the source has no services
   int group = 0;
   State state = State::kReady;
   double weight = 1;
@@ -72,6 +73,11 @@
   // Of a whole list: names that it holds too, with what can't be read. What was last known of them stays.
   std::vector<std::string> unreadable = {};
   Page page = Page::kOnly;  // of a whole list
+  // Of which service all of it is, where the source lists members by service: then the pages of a whole list
+  // come service by service, and only within one of them in the order of names; and versions of changes count
+  // within each.
+  std::string service = {};
+  bool ends_service = false;  // the last page of its service
 
   bool EndsList() const { return whole && (page == Page::kOnly || page == Page::kLast); }
 };
@@ -147,12 +153,16 @@
   // A whole list that comes in pages.
   struct Listing {
     std::uint64_t epoch = 0, version = 0;
+    std::string service;
     std::string compared_up_to;       // the last name of the pages so far
     std::vector<MemberPtr> unlisted;  // that the source had, and the pages so far don't name
+    std::vector<Member> postponed;    // whose name another service had, which may yet turn out to be unlisted
   };
   struct View {
     bool reported = false;
     std::uint64_t epoch = 0, version = 0;
+    std::uint64_t list_version = 0;                         // of the newest whole list
+    std::map<std::string, std::uint64_t> service_versions;  // of changes since the whole list
     Time heard{0};
     // Keyed by the member's own name. A tombstone, of state kGone, remembers a departure that it reported.
     std::map<std::string_view, MemberPtr> members;
@@ -170,6 +180,9 @@
   static void AddTombstone(Time now, View& view, const MemberPtr& member, std::set<std::string>* touched);
   static void FindUnlisted(View& view, const Report& report);
   bool Join(View& view, const Member& member) const;
+  // Whether a member that a report names is another service's of the same name; then it is a problem.
+  static bool Clashes(View& view, const Member& member);
+  void TakeMember(Time now, View& view, const Member& member, std::set<std::string>* touched) const;
   void ForgetDepartures(Time now, View& view);
   void Judge(Time now, const std::set<std::string>& touched, std::vector<Member>* changes);
   Believed Decide(const std::string& name) const;  // a member of state kGone: not believed in
--- a/src/operator/operator_file.cpp
+++ b/src/operator/operator_file.cpp
@@ -2,6 +2,7 @@
 #include "operator/operator_file.h"
 
 #include <algorithm>
+#include <set>
 
 #include "api/address.h"
 #include "operator/table_reader.h"
@@ -69,11 +70,11 @@
       table.Duration("ping_timeout", etcd.ping_timeout, milliseconds(20), milliseconds(60000));
 }
 
-void ReadPrefix(TableReader& table, std::string& prefix) {
+void ReadPrefix(TableReader& table, std::string& prefix, const char* key = "prefix") {
   const std::string usual = prefix;
-  prefix = table.Text("prefix", usual);
+  prefix = table.Text(key, usual);
   if (prefix.empty() || prefix.size() > 512)
-    table.Report("prefix", "is empty or too long; \"" + usual + "\" would be right");
+    table.Report(key, "is empty or too long; \"" + usual + "\" would be right");
 }
 
 void NeedsEtcd([[maybe_unused]] TableReader& table) {
@@ -82,12 +83,32 @@
 #endif
 }
 
+constexpr std::size_t kMaxServices = 256;
+constexpr std::size_t kMaxServiceName = 128;
+
+// Which services a proxy follows.
+void ReadServices(TableReader& table, Etcd& etcd) {
+  etcd.services = table.Texts("services");
+  ReadPrefix(table, etcd.services_prefix, "services_prefix");
+  if (etcd.services.size() > kMaxServices)
+    table.Report("services", "names " + std::to_string(etcd.services.size()) + "; at most " +
+                                 std::to_string(kMaxServices) + " would be right");
+  std::set<std::string> seen;
+  for (const std::string& service : etcd.services) {
+    if (service.empty() || service.size() > kMaxServiceName || service.find('/') != std::string::npos)
+      table.Report("services", "names \"" + service.substr(0, kMaxServiceName) + "\"; a name of 1 to " +
+                                   std::to_string(kMaxServiceName) + " characters without / would be right");
+    if (!seen.insert(service).second) table.Report("services", "names " + service + " twice");
+  }
+}
+
 Etcd ReadEtcd(TableReader& table) {
   Etcd etcd;
   NeedsEtcd(table);
   table.Require("endpoints", "the members' addresses, as in endpoints = [\"127.0.0.1:2379\"]");
   ReadLink(table, etcd);
   ReadPrefix(table, etcd.prefix);
+  ReadServices(table, etcd);
   const std::string authority = table.Text("authority", "etcd");
   if (authority != "etcd" && authority != "discovery")
     table.Report("authority", "is \"" + authority + "\"; etcd or discovery would be right");
--- a/src/operator/operator_file.h
+++ b/src/operator/operator_file.h
@@ -38,6 +38,10 @@
 // Membership from etcd, beside discovery.
 struct Etcd : EtcdLink {
   std::string prefix = "/badgerbridge/converters/";
+  // The services whose members are followed, and no others; empty: all members, under `prefix`. The keys are
+  // services_prefix + service + "/" + name.
+  std::vector<std::string> services;
+  std::string services_prefix = "/badgerbridge/services/";
   bool authority = true;  // joins need etcd's word; else discovery's, and etcd tells drains and departures
   int most_departures_percent = 50;
 };
--- a/tests/etcd/follower_test.cpp
+++ b/tests/etcd/follower_test.cpp
@@ -360,5 +360,126 @@
   EXPECT_EQ(Find<Follower::Range>()->request.revision(), 0);
 }
 
+class SectionsTest : public FollowerTest {
+ protected:
+  SectionsTest() {
+    FollowerSettings settings;
+    settings.prefix = kPrefix;
+    settings.sections = {"x/", "y/", "z/"};
+    follower = Follower(settings, 1);
+  }
+  void Answer(const std::vector<std::string>& keys, bool more, std::int64_t revision = 7) {
+    pb::RangeResponse page;
+    page.mutable_header()->set_cluster_id(1);
+    page.mutable_header()->set_revision(revision);
+    for (const std::string& key : keys) *page.add_kvs() = KeyAt(kPrefix + key, 3);
+    page.set_more(more);
+    actions.clear();
+    follower.RangeCompleted(now, {}, page, &actions);
+  }
+  void Receive(std::int64_t watch_id, std::int64_t header, const std::vector<std::int64_t>& revisions,
+               bool created = false) {
+    pb::WatchResponse response;
+    response.mutable_header()->set_cluster_id(1);
+    response.mutable_header()->set_revision(header);
+    response.set_watch_id(watch_id);
+    response.set_created(created);
+    const std::string section = watch_id == 1 ? "x/" : watch_id == 2 ? "y/" : "z/";
+    for (const std::int64_t revision : revisions)
+      *response.add_events()->mutable_kv() = KeyAt(kPrefix + section + "k", revision);
+    actions.clear();
+    follower.WatchReceived(now, response, &actions);
+  }
+  // Each section's watch, from the actions: where it starts.
+  std::map<std::string, std::int64_t> Starts() const {
+    std::map<std::string, std::int64_t> starts;
+    for (const auto& action : actions) {
+      const pb::WatchRequest* request = nullptr;
+      if (const auto* first = std::get_if<Follower::Watch>(&action)) request = &first->request;
+      if (const auto* other = std::get_if<Follower::AddWatch>(&action)) request = &other->request;
+      if (!request) continue;
+      const auto& create = request->create_request();
+      EXPECT_EQ(create.watch_id(), static_cast<std::int64_t>(starts.size()) + 1);
+      starts[create.key().substr(kPrefix.size())] = create.start_revision();
+    }
+    return starts;
+  }
+  void FollowAll() {
+    while (!Find<Follower::Connect>()) Tick();
+    actions.clear();
+    follower.Opened(now, &actions);
+    for (int i = 0; i < 3; ++i) Answer({}, false);
+    for (int i = 1; i <= 3; ++i) Receive(i, 7, {}, true);
+  }
+};
+
+TEST_F(SectionsTest, AreListedOneAfterTheOtherAtOneRevision) {
+  while (!Find<Follower::Connect>()) Tick();
+  actions.clear();
+  follower.Opened(now, &actions);
+  EXPECT_EQ(Find<Follower::Range>()->request.key(), kPrefix + "x/");
+  EXPECT_EQ(Find<Follower::Range>()->request.range_end(), kPrefix + "x0");
+  Answer({"x/a"}, true);
+  EXPECT_TRUE(Find<Follower::SnapshotPage>()->first);
+  EXPECT_FALSE(Find<Follower::SnapshotPage>()->ends_section);
+  Answer({"x/b", "y/none"}, false, 9);
+  const auto* page = Find<Follower::SnapshotPage>();
+  EXPECT_EQ(page->kvs.size(), 1u) << "of this section alone";
+  EXPECT_TRUE(page->ends_section);
+  EXPECT_FALSE(page->first || page->last);
+  EXPECT_EQ(page->revision, 7);
+  EXPECT_EQ(Find<Follower::Range>()->request.key(), kPrefix + "y/");
+  EXPECT_EQ(Find<Follower::Range>()->request.revision(), 7);
+  Answer({}, false, 9);
+  EXPECT_EQ(Find<Follower::SnapshotPage>()->section, 1u);
+  Answer({"z/a"}, false, 9);
+  EXPECT_TRUE(Find<Follower::SnapshotPage>()->last);
+  EXPECT_EQ(Find<Follower::SnapshotPage>()->section, 2u);
+  EXPECT_EQ(Starts(), (std::map<std::string, std::int64_t>{{"x/", 8}, {"y/", 8}, {"z/", 8}}));
+}
+
+TEST_F(SectionsTest, EachResumesAfterItsOwnRevision) {
+  FollowAll();
+  EXPECT_TRUE(Find<Follower::Progress>()) << "established with the last of them";
+  Receive(2, 30, {20, 30});
+  ASSERT_TRUE(Find<Follower::Events>());
+  EXPECT_EQ(Find<Follower::Events>()->section, 1u);
+  EXPECT_EQ(Find<Follower::Events>()->revision, 30);
+  EXPECT_EQ(follower.revision(), 7) << "of all of them together";
+  Receive(1, 30, {25});
+  EXPECT_TRUE(Find<Follower::Events>()) << "older than what another watch has given";
+  Receive(3, 28, {});  // progress of one
+  follower.Closed(now, "cut", &actions);
+  actions.clear();
+  while (!Find<Follower::Connect>()) Tick();
+  follower.Opened(now, &actions);
+  Answer({}, false, 29);  // behind one of them: replaced
+  EXPECT_TRUE(Find<Follower::Range>());
+  EXPECT_GT(Find<Follower::Range>()->request.limit(), 1);
+}
+
+TEST_F(SectionsTest, ResumeWithoutAListWhereHistoryGoesOn) {
+  FollowAll();
+  Receive(2, 30, {30});
+  Receive(1, 30, {25});
+  Receive(-1, 40, {});  // progress of all
+  EXPECT_EQ(follower.revision(), 40);
+  Receive(3, 41, {41});
+  follower.Closed(now, "cut", &actions);
+  actions.clear();
+  while (!Find<Follower::Connect>()) Tick();
+  follower.Opened(now, &actions);
+  Answer({}, false, 45);
+  EXPECT_EQ(Starts(), (std::map<std::string, std::int64_t>{{"x/", 41}, {"y/", 41}, {"z/", 42}}));
+  EXPECT_EQ(follower.snapshots(), 1u);
+}
+
+TEST_F(SectionsTest, EventsOfAnUnknownWatchAreNotTaken) {
+  FollowAll();
+  Receive(9, 30, {30});
+  EXPECT_FALSE(Find<Follower::Events>());
+  EXPECT_TRUE(Find<Follower::Disconnected>());
+}
+
 }  // namespace
 }  // namespace badgerbridge::etcd
--- a/tests/membership/feed_random_test.cpp
+++ b/tests/membership/feed_random_test.cpp
@@ -273,6 +273,7 @@
         Act([&](Follower::Actions* actions) { follower_.WatchReceived(now_, response, actions); });
     });
   }
+  void Do(const Follower::AddWatch&) { FAIL(); }
   void Do(const Follower::RequestProgress&) {
     if (!watching_ || next_ <= (lag_ ? lag_ : store_.revision())) return;  // only when it has all
     pb::WatchResponse response;
--- a/tests/membership/ledger_test.cpp
+++ b/tests/membership/ledger_test.cpp
@@ -425,5 +425,77 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, LedgerRandom, ::testing::Values(1, 2, 3, 4));
 
+class LedgerServicesTest : public LedgerTest {
+ protected:
+  static Member In(const std::string& service, const std::string& name, State state = State::kReady) {
+    Member member = Make(name, state);
+    member.service = service;
+    return member;
+  }
+  bool List(Page page, const std::string& service, std::vector<Member> members, std::uint64_t version,
+            bool ends_service = true) {
+    changes.clear();
+    Report report{kEtcd, 1, version, true, true, std::move(members)};
+    report.page = page;
+    report.service = service;
+    report.ends_service = ends_service;
+    return ledger.Take(now, report, &changes);
+  }
+  bool Change(const std::string& service, std::uint64_t version, std::vector<Member> members) {
+    changes.clear();
+    Report report{kEtcd, 1, version, false, false, std::move(members)};
+    report.service = service;
+    return ledger.Take(now, report, &changes);
+  }
+};
+
+TEST_F(LedgerServicesTest, EachServicesPagesAreComparedWithItsOwnMembers) {
+  EXPECT_TRUE(List(Page::kFirst, "x", {In("x", "m"), In("x", "p")}, 10));
+  EXPECT_TRUE(List(Page::kLast, "y", {In("y", "a"), In("y", "n"), In("y", "z")}, 10));
+  EXPECT_EQ(ledger.believed().size(), 5u);
+  EXPECT_TRUE(List(Page::kFirst, "x", {In("x", "m")}, 20, false));
+  EXPECT_TRUE(List(Page::kMiddle, "x", {}, 20));
+  EXPECT_TRUE(List(Page::kMiddle, "y", {In("y", "n")}, 20, false));
+  EXPECT_EQ(ledger.believed().size(), 5u);
+  EXPECT_TRUE(List(Page::kLast, "y", {In("y", "z")}, 20));
+  EXPECT_EQ(StateOf("p"), "gone");
+  EXPECT_EQ(StateOf("a"), "gone");
+  EXPECT_EQ(ledger.believed().size(), 3u);
+}
+
+TEST_F(LedgerServicesTest, VersionsCountWithinAService) {
+  List(Page::kFirst, "x", {In("x", "a")}, 10);
+  List(Page::kLast, "y", {In("y", "b")}, 10);
+  EXPECT_TRUE(Change("y", 30, {In("y", "b", State::kDraining)}));
+  EXPECT_TRUE(Change("x", 25, {In("x", "a", State::kDraining)})) << "no order holds between them";
+  EXPECT_EQ(StateOf("a"), "draining");
+  EXPECT_FALSE(Change("x", 25, {In("x", "a")})) << "a repeat";
+  EXPECT_FALSE(Change("x", 9, {In("x", "a")})) << "before the list";
+  EXPECT_EQ(ledger.version(kEtcd), 30u);
+}
+
+TEST_F(LedgerServicesTest, ANameInTwoServicesIsAProblemInWordsAndTheFirstStays) {
+  List(Page::kFirst, "x", {In("x", "a")}, 10);
+  List(Page::kLast, "y", {In("y", "a", State::kDraining), In("y", "b")}, 10);
+  EXPECT_EQ(StateOf("a"), "ready") << "the drain is another's";
+  ASSERT_EQ(ledger.problems(kEtcd).count("y/a"), 1u);
+  EXPECT_NE(ledger.problems(kEtcd).at("y/a").find("the service x has a member of this name"),
+            std::string::npos);
+  EXPECT_TRUE(Change("y", 11, {In("y", "a", State::kGone)}));
+  EXPECT_EQ(StateOf("a"), "ready") << "nor is the departure its own";
+  EXPECT_TRUE(ledger.problems(kEtcd).empty());
+}
+
+TEST_F(LedgerServicesTest, AMemberThatMovedBetweenServicesIsNoClash) {
+  List(Page::kFirst, "x", {In("x", "b")}, 10);
+  List(Page::kLast, "y", {In("y", "a")}, 10);
+  // The list reads x first, where a is now, and only then y, where it was.
+  List(Page::kFirst, "x", {In("x", "a"), In("x", "b")}, 20);
+  List(Page::kLast, "y", {}, 20);
+  EXPECT_EQ(StateOf("a"), "ready");
+  EXPECT_EQ(ledger.believed().at("a").member->service, "x");
+  EXPECT_TRUE(ledger.problems(kEtcd).empty());
+}
+
 }  // namespace
 }  // namespace badgerbridge::membership
--- a/tests/membership/members_test.cpp
+++ b/tests/membership/members_test.cpp
@@ -128,6 +128,26 @@
   EXPECT_EQ(etcd->protocol_errors(), 0u);
 }
 
+TEST_F(MembersTest, TakesTheServiceWithTheNameWhereTheFileNamesServices) {
+  Member member;
+  member.name = "c-1";
+  member.address = "127.0.0.1:1";
+  etcd->Put("/badgerbridge/services/billing/c-1", ValueOf(member));
+  site->Write("scoped.toml", "[etcd]\nendpoints = [\"" + address + "\"]\nservices = [\"billing\"]\n");
+  const std::string file = site->folder() + "/scoped.toml";
+  CommandResult result = site->Ctl({"members", "drain", "billing/c-1", "--operator", file});
+  EXPECT_EQ(result.code, 0) << result.out << result.err;
+  pb::RangeRequest range;
+  range.set_key("/badgerbridge/services/billing/c-1");
+  pb::RangeResponse there;
+  ASSERT_TRUE(etcd->store().Range(range, &there).ok());
+  EXPECT_NE(there.kvs(0).value().find("Terminating"), std::string::npos) << there.kvs(0).value();
+  result = site->Ctl({"members", "register", "c-9", "--address", "127.0.0.1:1", "--zone", "a", "--group", "1",
+                      "--operator", file});
+  EXPECT_EQ(result.code, 2);
+  EXPECT_NE(result.err.find("SERVICE/c-9 would be right"), std::string::npos) << result.err;
+}
+
 TEST_F(MembersTest, AnotherWriterIsNeverOverwrittenAndOneThatNeverStopsIsAConflict) {
   // The converter itself writes its key between the tool's read and its transaction: once, then for ever.
   int writes = 0, most = 1;
--- a/tests/membership/membership_source_test.cpp
+++ b/tests/membership/membership_source_test.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/json.hpp>
 #include <map>
+#include <random>
 
 #include "membership/value.h"
 #include "node_harness.h"
@@ -27,6 +28,7 @@
   void Start(std::size_t max_members = membership::kMaxMembers) {
     operator_file::Etcd table;
     table.endpoints = {"127.0.0.1:" + std::to_string(etcd.address(0).port())};
+    table.services = services;
     source.emplace(
         io, node::testing::TestConfig({}), table, [this](const EndpointList& list) { Take(list); },
         [this] {
@@ -67,12 +69,30 @@
   boost::asio::io_context io{1};
   standins::Etcd etcd{io, {}};
   std::optional<MembershipSource> source;
+  std::vector<std::string> services;
   std::map<std::string, ServerState> proxy;
   std::vector<ServerState> order;  // of all entries, as they came
   std::size_t largest = 0, size_at_completion = 0;
   int completions = 0;
 };
 
+class ServicesTest : public MembershipSourceTest {
+ protected:
+  void PutIn(const std::string& service, const std::string& name, State state = State::kReady) {
+    etcd.Put("/badgerbridge/services/" + service + "/" + name, Pair(name, state).second);
+  }
+  void DeleteIn(const std::string& service, const std::string& name) {
+    etcd.Delete("/badgerbridge/services/" + service + "/" + name);
+  }
+  std::string ServiceOf(const std::string& name) const {
+    const json::value answer = source->Describe();
+    for (const json::value& member : answer.at("members").as_array()) {
+      if (member.at("name").as_string() == name) return std::string(member.at("service").as_string());
+    }
+    return "none";
+  }
+};
+
 TEST_F(MembershipSourceTest, AListComesInBoundedSlicesAndIsCompleteAtItsEnd) {
   Write(Numbered("m", 1000));
   Start();
@@ -144,5 +164,97 @@
   ASSERT_TRUE(Until([&] { return EtcdSource().at("age_ms").to_number<int>() < 500; }));
 }
 
+TEST_F(ServicesTest, OnlyTheNamedServicesAreFollowedAndWholeBeforeItIsComplete) {
+  for (const char* service : {"billing", "billing-old", "search", "other"}) {
+    for (int i = 0; i < 300; ++i) PutIn(service, std::string(service) + std::to_string(i));
+  }
+  PutIn("", "flat");
+  services = {"billing", "search"};
+  Start();
+  ASSERT_TRUE(Until([&] { return completions == 1; }));
+  EXPECT_EQ(size_at_completion, 600u);
+  EXPECT_EQ(ServiceOf("search7"), "search");
+  PutIn("search", "search7", State::kDraining);
+  PutIn("other", "other7", State::kDraining);
+  PutIn("billing", "new");
+  DeleteIn("billing", "billing3");
+  ASSERT_TRUE(Until([&] {
+    return proxy["search7"] == ServerState::kDraining && proxy.count("new") == 1 &&
+           proxy.count("billing3") == 0;
+  }));
+  EXPECT_EQ(proxy.size(), 600u);
+  EXPECT_EQ(ServiceOf("new"), "billing");
+  EXPECT_EQ(etcd.watches(), 2u);
+  EXPECT_EQ(etcd.connections(0), 1u);
+}
+
+TEST_F(ServicesTest, AreResumedAndAfterACompactionReadAgain) {
+  for (const char* name : {"a", "b"}) PutIn("x", name);
+  PutIn("y", "c");
+  services = {"x", "y", "empty"};
+  Start();
+  ASSERT_TRUE(Until([&] { return completions == 1; }));
+  etcd.Down(0);
+  PutIn("y", "c", State::kDraining);
+  PutIn("empty", "d");
+  etcd.Up(0);
+  ASSERT_TRUE(Until([&] { return proxy["c"] == ServerState::kDraining && proxy.count("d") == 1; }));
+  EXPECT_EQ(source->Describe().at("etcd").at("lists").to_number<int>(), 1);
+  EXPECT_EQ(source->Describe().at("etcd").at("resumes").to_number<int>(), 1);
+  etcd.Down(0);
+  DeleteIn("x", "a");
+  DeleteIn("x", "b");  // it moves
+  PutIn("y", "b");
+  etcd.Compact(etcd.store().revision());
+  etcd.Up(0);
+  ASSERT_TRUE(Until([&] { return proxy.count("a") == 0 && ServiceOf("b") == "y"; }));
+  EXPECT_EQ(proxy.size(), 3u);
+  EXPECT_EQ(source->Describe().at("etcd").at("lists").to_number<int>(), 2);
+  PutIn("x", "e");
+  ASSERT_TRUE(Until([&] { return proxy.count("e") == 1; })) << "and it follows again";
+  EXPECT_EQ(etcd.protocol_errors(), 0u);
+}
+
+TEST_F(ServicesTest, ANameInTwoServicesIsSaid) {
+  PutIn("x", "a");
+  PutIn("y", "a");
+  services = {"x", "y"};
+  Start();
+  ASSERT_TRUE(Until([&] { return completions == 1; }));
+  EXPECT_EQ(proxy.size(), 1u);
+  const json::object problems = EtcdSource().at("problems").as_object();
+  ASSERT_TRUE(problems.contains("y/a"));
+  EXPECT_EQ(problems.at("y/a").as_string(), "the service x has a member of this name, which stays");
+}
+
+TEST_F(ServicesTest, CutsAtRandomBytesEndUpEqual) {
+  services = {"x", "y", "z"};
+  Start();
+  std::mt19937 random(7);
+  std::map<std::string, ServerState> world;
+  for (int round = 0; round < 40; ++round) {
+    etcd.CutAfter(0, random() % 2500);
+    for (unsigned n = random() % 4 + 1; n > 0; --n) {
+      const std::string service = services[random() % 3];
+      const std::string name = service + std::to_string(random() % 8);
+      const unsigned what = random() % 3;
+      if (what == 0) {
+        DeleteIn(service, name);
+        world.erase(name);
+      } else {
+        PutIn(service, name, what == 1 ? State::kReady : State::kDraining);
+        world[name] = what == 1 ? ServerState::kReady : ServerState::kDraining;
+      }
+    }
+    if (random() % 4 == 0 && etcd.store().revision() > etcd.store().compacted() + 1)
+      etcd.Compact(etcd.store().revision());
+    io.restart();
+    io.run_for(std::chrono::milliseconds(random() % 30));
+  }
+  etcd.CutAfter(0, SIZE_MAX);
+  ASSERT_TRUE(Until([&] { return proxy == world; }));
+  EXPECT_EQ(etcd.protocol_errors(), 0u);
+}
+
 }  // namespace
 }  // namespace badgerbridge::app
--- a/tests/operator/operator_file_test.cpp
+++ b/tests/operator/operator_file_test.cpp
@@ -154,6 +154,20 @@
 }
 
 #ifdef BADGERBRIDGE_HAS_ETCD
+TEST(OperatorFile, ServicesAreCheckedWhole) {
+  const std::string head = "[etcd]\nendpoints = [\"127.0.0.1:1\"]\n";
+  EXPECT_EQ(Check(head + "services = [\"billing\", \"search\"]\n"), "");
+  EXPECT_EQ(Check(head + "services = [\"a\", \"a\"]\n"), "op.toml:3:12: etcd.services names a twice\n");
+  EXPECT_EQ(Check(head + "services = [\"a/b\"]\n"),
+            "op.toml:3:12: etcd.services names \"a/b\"; a name of 1 to 128 characters without / would be "
+            "right\n");
+  EXPECT_NE(Check(head + "services = [\"\"]\n").find("a name of 1 to 128 characters"), std::string::npos);
+  EXPECT_NE(Check(head + "services_prefix = \"\"\n").find("services_prefix is empty"), std::string::npos);
+  std::string many = head + "services = [";
+  for (int i = 0; i < 257; ++i) many += (i > 0 ? ", \"s" : "\"s") + std::to_string(i) + "\"";
+  EXPECT_EQ(Check(many + "]\n"), "op.toml:3:12: etcd.services names 257; at most 256 would be right\n");
+}
+
 TEST(OperatorFile, RegionsAreCheckedWhole) {
   EXPECT_EQ(Check("[regions]\nzones = [\"a\", \"b\"]\n"),
             "op.toml:1:1: regions needs endpoints = [\"127.0.0.1:2379\"], or an [etcd] table that says where "
