--- a/src/app/membership_source.h
+++ b/src/app/membership_source.h
@@ -34,7 +34,7 @@
   // called from within. `on_change` gets the list in slices of at most kSliceMembers. `on_complete`: the
   // authority's first whole list has been passed on; called once. `max_members`: of each source's list.
   MembershipSource(boost::asio::io_context& io, const node::Config& config,
-                   const operator_file::Etcd& settings, OnChange on_change, OnComplete on_complete,
+                   const operator_file::Etcd& settings, OnChange on_change, OnComplete on_complete = nullptr,
                    std::size_t max_members = membership::kMaxMembers);
 
   // The list that the configuration gave: what the proxy works with until the authority has spoken.
@@ -47,6 +47,9 @@
   // What is held back has really left: lets it go; how many there were.
   std::size_t Release();
 
+  // Changes that were not passed on yet.
+  std::size_t pending() const { return pending_.size(); }
+
   // The ledger for people: each member with whose word decided, each source with its freshness.
   boost::json::value Describe() const;
 
--- a/src/etcd/follower_link.cpp
+++ b/src/etcd/follower_link.cpp
@@ -154,10 +154,18 @@
   if (channel_ && watch_ >= 0) channel_->Send(watch_, action.request.SerializeAsString(), false);
 }
 
-void FollowerLink::Do(Follower::RequestProgress&) {
+void FollowerLink::Do(Follower::RequestProgress&) { RequestProgress(); }
+
+void FollowerLink::RequestProgress() {
   pb::WatchRequest request;
   request.mutable_progress_request();
-  if (channel_) channel_->Send(watch_, request.SerializeAsString(), false);
+  if (channel_ && watch_ >= 0) channel_->Send(watch_, request.SerializeAsString(), false);
+}
+
+void FollowerLink::Reject(const std::string& why) {
+  Follower::Actions actions;
+  follower_.Reject(Now(), why, &actions);
+  Perform(std::move(actions));
 }
 
 void FollowerLink::Do(Follower::Close& action) {
