Mend what the linter found: a slicing assignment that is meant

The cut from Etcd to the EtcdLink in it was implicit; now it goes by a reference to the base. Clock::is_steady keeps the standard's name.

--- a/include/fordlb/balancer.h
+++ b/include/fordlb/balancer.h
@@ -23,6 +23,7 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<Clock>;
+  // NOLINTNEXTLINE(readability-identifier-naming): the standard's name
   static constexpr bool is_steady = true;
 };
 using Duration = Clock::duration;
--- a/src/operator/operator_file.cpp
+++ b/src/operator/operator_file.cpp
@@ -163,7 +163,8 @@
   Regions& regions = *file.regions;
   if (!regions.together || !regions.endpoints.empty()) return;
   if (file.etcd) {
-    static_cast<EtcdLink&>(regions) = *file.etcd;
+    const EtcdLink& link = *file.etcd;
+    static_cast<EtcdLink&>(regions) = link;
     return;
   }
   table.Report("regions",
