--- a/src/lab/converter.h
+++ b/src/lab/converter.h
@@ -26,7 +26,7 @@
 
 using JobId = std::uint64_t;
 
-class Converter : public Actor {
+class Converter final : public Actor {
  public:
   enum class Begin { kRuns, kQueued, kFull, kFell };
   class Watcher {
--- a/src/lab/members.h
+++ b/src/lab/members.h
@@ -17,7 +17,7 @@
 
 namespace badgerbridge::lab {
 
-class Members : public Actor {
+class Members final : public Actor {
  public:
   using OnShares = std::function<void(TimePoint, std::size_t proxy, std::vector<double>)>;
 
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -44,7 +44,7 @@
   double worth_share() const;
 };
 
-class World : private Actor, private Converter::Watcher {
+class World final : private Actor, private Converter::Watcher {
  public:
   World(const Model& model, std::uint64_t seed, CoreFactory factory = MakeBadgerbridge,
         std::uint64_t tie_seed = 0);
