--- a/src/lab/converter.cpp
+++ b/src/lab/converter.cpp
@@ -7,7 +7,7 @@
 
 Converter::Converter(EventQueue& queue, Watcher& watcher, std::size_t index, ConverterModel model,
                      Random random)
-    : queue_(queue), watcher_(watcher), index_(index), model_(model), random_(std::move(random)) {}
+    : queue_(queue), watcher_(watcher), index_(index), model_(model), random_(random) {}
 
 void Converter::Start(TimePoint up_since) {
   up_ = true;
