--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "relay/actions.h"
 #include "relay/key_range.h"
 #include "relay/reads.h"
 #include "relay/state.h"
@@ -90,7 +91,7 @@
   needs_snapshot = true;
   last_error = why;
   ++rejected;
-  actions->push_back(RejectUpstream{std::move(why)});
+  Append<RejectUpstream>(actions, std::move(why));
 }
 
 std::optional<std::string> Relay::Impl::CheckKeyValue(const pb::KeyValue& kv, std::int64_t revision) const {
@@ -284,13 +285,13 @@
 
 void Relay::Impl::ServeReads(Time now, Actions* actions) {
   while (auto ready = reads.NextReady(now)) {
-    AnswerRead answer{ready->read, {}, {}};
-    answer.status = ReadRange(state, window, position.revision, ready->request, &answer.response);
-    answer.response.mutable_header()->set_cluster_id(position.cluster_id);
-    answer.response.mutable_header()->set_member_id(settings.member_id);
-    answer.response.mutable_header()->set_revision(position.revision);
-    if (ready->list) reads.Spend(answer.response.ByteSizeLong());
-    actions->push_back(std::move(answer));
+    pb::RangeResponse response;
+    etcd::Status status = ReadRange(state, window, position.revision, ready->request, &response);
+    response.mutable_header()->set_cluster_id(position.cluster_id);
+    response.mutable_header()->set_member_id(settings.member_id);
+    response.mutable_header()->set_revision(position.revision);
+    if (ready->list) reads.Spend(response.ByteSizeLong());
+    Append<AnswerRead>(actions, ready->read, std::move(status), std::move(response));
   }
 }
 
@@ -309,7 +310,7 @@
   }
   if (!status.ok()) {
     ++impl_->refused;
-    actions->push_back(AnswerRead{read, std::move(status), {}});
+    Append<AnswerRead>(actions, read, std::move(status), pb::RangeResponse());
     return;
   }
   impl_->reads.Add(now, read, request, impl_->position, actions);
@@ -333,7 +334,7 @@
   }
   if (!status.ok()) {
     ++impl_->refused;
-    actions->push_back(EndSubscriber{subscriber, std::move(status)});
+    Append<EndSubscriber>(actions, subscriber, std::move(status));
     return;
   }
   // As the API has it, no key and the end "\0" are all keys.
