--- a/src/fleet/agent_api.cpp
+++ b/src/fleet/agent_api.cpp
@@ -398,7 +398,7 @@
   handling_ = true;
   Perform(actions);
   handling_ = false;
-  const api::Response response = answer(202);
+  api::Response response = answer(202);
   asio::post(io_, [this, alive = alive_] {
     if (*alive) Raise(Tick{});
   });
--- a/src/fleet/orders.cpp
+++ b/src/fleet/orders.cpp
@@ -194,7 +194,7 @@
 }
 
 Verdict Fleet::Submit(Time now, std::int64_t unix_ms, const Order& order, std::vector<Action>* actions) {
-  const Verdict verdict = Judge(order);
+  Verdict verdict = Judge(order);
   if (verdict.kind != Verdict::Kind::kAccepted) return verdict;
   ++generation_;
   if (order.supersede) {
