Plant faults in bench/scale, and compare states before a zone comes back

A hollow proxy that missed deletions passed: the state was compared only once the zone's backends were back, with the same values.

--- a/bench/scale_rig/experiments.cpp
+++ b/bench/scale_rig/experiments.cpp
@@ -99,10 +99,12 @@
   const SpreadResult gone = trial.Zone(kZoneThatGoes, true);
   PrintSpread(name + ", a zone's backends go", gone);
   SetSpread("zone_gone", gone, report);
+  std::size_t differ =
+      trial.Check();  // before they come back: a deletion that was missed would not show then
   const SpreadResult back = trial.Zone(kZoneThatGoes, false);
   PrintSpread(name + ", and come back", back);
   SetSpread("zone_back", back, report);
-  std::size_t differ = trial.Check();
+  differ += trial.Check();
   SpreadResult drain;
   const StartResult tenth = trial.RestartTenth(&drain);
   PrintStart(name + ", a tenth starts at once", tenth, (trial.settings().size.proxies + 9) / 10);
--- a/bench/scale_rig/hollow_proxy.cpp
+++ b/bench/scale_rig/hollow_proxy.cpp
@@ -20,9 +20,18 @@
   }
 }
 
+namespace {
+
+constexpr std::int64_t kPlantedDelayNs = 2000000000;
+
+}  // namespace
+
 HollowProxy::HollowProxy(boost::asio::io_context& io, const Size& size, std::size_t number,
                          const std::vector<boost::asio::ip::tcp::endpoint>& endpoints, KeyIndices* keys)
-    : keys_(keys), started_ns_(NowNs()) {
+    : keys_(keys),
+      loses_deletions_(size.loses_deletions && number == 0),
+      late_drains_(size.late_drains && number == 0),
+      started_ns_(NowNs()) {
   const std::vector<std::size_t> services = ServicesOf(size, number);
   lists_left_ = services.size();
   for (const std::size_t service : services) {
@@ -38,7 +47,9 @@
     settings.follower.prefix = PrefixOf(size, service);
     follow.source.emplace(
         io, settings, size.seed + number * 7919 + service,
-        [this, &follow](Time now, const Report& report) { Take(follow, now, report); },
+        [this, &follow](Time now, const Report& report) {
+          loses_deletions_ ? TakeWithoutDeletions(follow, now, report) : Take(follow, now, report);
+        },
         [&follow](Time now) {
           if (follow.ledger) follow.ledger->Heard(now, 0);
         },
@@ -48,6 +59,11 @@
   }
 }
 
+void HollowProxy::TakeWithoutDeletions(Follow& follow, Time now, Report report) {
+  std::erase_if(report.members, [](const auto& member) { return member.state == membership::State::kGone; });
+  Take(follow, now, report);
+}
+
 void HollowProxy::Take(Follow& follow, Time now, const Report& report) {
   if (follow.ledger) {
     std::vector<membership::Member> changes;
@@ -55,7 +71,7 @@
   }
   follow.digest.Apply(report);
   if (report.whole && !report.EndsList()) return;  // not the last page
-  follow.times.push_back({report.version, NowNs()});
+  follow.times.push_back({report.version, NowNs() + (late_drains_ ? kPlantedDelayNs : 0)});
   if (follow.listed || !report.whole) return;
   follow.listed = true;
   if (--lists_left_ == 0) ready_ns_ = NowNs();
--- a/bench/scale_rig/hollow_proxy.h
+++ b/bench/scale_rig/hollow_proxy.h
@@ -82,9 +82,11 @@
   };
 
   void Take(Follow& follow, membership::Time now, const membership::Report& report);
+  void TakeWithoutDeletions(Follow& follow, membership::Time now, membership::Report report);
   const Follow* Find(std::size_t service) const;
 
   KeyIndices* keys_;
+  bool loses_deletions_, late_drains_;  // planted faults
   std::int64_t started_ns_, ready_ns_ = 0;
   std::size_t lists_left_ = 0, refused_reports_ = 0;
   std::vector<std::unique_ptr<Follow>> follows_;
--- a/bench/scale_rig/main.cpp
+++ b/bench/scale_rig/main.cpp
@@ -54,10 +54,14 @@
   app.add_flag("--relays", one.relays, "two tiers of relays between the source and the proxies");
   app.add_option("--first-tier", one.first_tier, "relays of the first tier");
   app.add_option("--second-tier", one.second_tier, "relays of the second tier");
+  app.add_flag("--plant-lost-deletions", one.size.loses_deletions,
+               "one proxy misses deletions: the run must fail");
+  app.add_flag("--plant-late-drains", one.size.late_drains, "one proxy is late by 2 s: the run must fail");
   app.add_option("--seed", one.size.seed, "of what is written, and which services are followed");
   CLI11_PARSE(app, count, arguments);
   if (role == "source") return RunSource();
   if (role == "hollow") return RunHollowProxies();
+  if (one.size.loses_deletions) one.check_timeout = std::chrono::seconds(2);  // it will never be the source's
   bench::Checks checks;
   Report report;
   try {
--- a/bench/scale_rig/plan.cpp
+++ b/bench/scale_rig/plan.cpp
@@ -29,17 +29,23 @@
           {"backends", size.backends},
           {"services", size.services},
           {"services_per_proxy", size.services_per_proxy},
-          {"seed", size.seed}};
+          {"seed", size.seed},
+          {"loses_deletions", size.loses_deletions},
+          {"late_drains", size.late_drains}};
 }
 
 Size SizeFrom(const boost::json::object& object) {
   const auto number = [&](const char* key) { return object.at(key).to_number<std::size_t>(); };
-  return {number("proxies"),
-          number("ledgers"),
-          number("backends"),
-          number("services"),
-          number("services_per_proxy"),
-          number("seed")};
+  Size size;
+  size.proxies = number("proxies");
+  size.ledgers = number("ledgers");
+  size.backends = number("backends");
+  size.services = number("services");
+  size.services_per_proxy = number("services_per_proxy");
+  size.seed = number("seed");
+  size.loses_deletions = object.at("loses_deletions").as_bool();
+  size.late_drains = object.at("late_drains").as_bool();
+  return size;
 }
 
 std::size_t ServiceOf(const Size& size, std::size_t backend) { return backend % size.services; }
--- a/bench/scale_rig/plan.h
+++ b/bench/scale_rig/plan.h
@@ -24,6 +24,9 @@
   std::size_t services = 1;            // at most as many as backends
   std::size_t services_per_proxy = 0;  // 0: a proxy follows one flat prefix with all backends
   std::uint64_t seed = 1;
+  // A fault planted for the rig's own test: hollow proxy 0 misses deletions, or holds up what it is told.
+  bool loses_deletions = false;
+  bool late_drains = false;
 
   bool flat() const { return services_per_proxy == 0; }
   // How many backends one proxy follows, rounded up.
--- a/bench/scale_rig/trial.cpp
+++ b/bench/scale_rig/trial.cpp
@@ -22,7 +22,7 @@
 constexpr double kMostStarts = 500;       // a second
 constexpr double kAtOnce = 1e9;           // a second
 constexpr milliseconds kPoll{50};
-constexpr milliseconds kInForceTimeout{10000}, kCheckTimeout{15000};
+constexpr milliseconds kInForceTimeout{10000};
 // What the product promises at its full size.
 constexpr milliseconds kDrainBound{500}, kChangeBound{5000}, kReadyBound{10000};
 constexpr std::size_t kTenth = 10;
@@ -332,7 +332,7 @@
 }
 
 std::size_t Trial::Check() {
-  const auto due = steady_clock::now() + kCheckTimeout;
+  const auto due = steady_clock::now() + settings_.check_timeout;
   std::size_t differ = 0, ledgers_differ = 0;
   std::string first;
   do {
--- a/bench/scale_rig/trial.h
+++ b/bench/scale_rig/trial.h
@@ -28,6 +28,7 @@
   std::size_t first_tier = 1, second_tier = 2;  // how many relays
   double start_per_second = 0;                  // 0: so that kStartEntries are listed a second
   std::chrono::milliseconds ready_timeout{60000};
+  std::chrono::milliseconds check_timeout{15000};  // until every proxy's state is the source's
 };
 
 // What is spent over some time, by whom.
