--- a/src/relay/main.cpp
+++ b/src/relay/main.cpp
@@ -94,6 +94,8 @@
   app.add_option("--prefix", arguments.prefix, "keys that are served, as in /badgerbridge/")->required();
   app.add_option("--config", arguments.config, "TOML: TLS, user, bounds (deploy/relay.toml lists every key)");
   app.add_option("--status-socket", arguments.status_socket, "path of a Unix socket that answers /v1/status");
+  bool check = false;
+  app.add_flag("--check", check, "check the arguments and the file, and start nothing");
   app.set_version_flag("--version", api::VersionText("badgerrelay", {"etcd", "TLS"}));
   CLI11_PARSE(app, count, values);
 
@@ -111,6 +113,7 @@
     std::cerr << "badgerrelay: " << wrong << '\n';
     return 1;
   }
+  if (check) return 0;
   settings.relay.member_id = seed | 1;  // not 0
   try {
     return Serve(arguments, settings, seed);
--- a/tests/install_test.sh
+++ b/tests/install_test.sh
@@ -23,14 +23,14 @@
 
 prefix=$work/prefix
 expect "installs into an empty prefix" cmake --install "$build" --prefix "$prefix"
-for file in bin/badgerbridge bin/badgeragent bin/badgerctl bin/badgerlab share/badgerbridge/scenarios/calm.toml lib/systemd/system/badgeragent.service \
-  lib/systemd/system/badgerbridge@.service lib/sysusers.d/badgerbridge.conf etc/badgerbridge/operator.toml \
-  etc/badgerbridge/fleet.toml etc/badgerbridge/context.toml share/man/man1/badgerbridge.1 \
+for file in bin/badgerbridge bin/badgeragent bin/badgerctl bin/badgerlab bin/badgerrelay share/badgerbridge/scenarios/calm.toml lib/systemd/system/badgeragent.service \
+  lib/systemd/system/badgerrelay.service lib/systemd/system/badgerbridge@.service lib/sysusers.d/badgerbridge.conf etc/badgerbridge/operator.toml \
+  etc/badgerbridge/fleet.toml etc/badgerbridge/context.toml etc/badgerbridge/relay.toml share/man/man1/badgerbridge.1 share/man/man1/badgerrelay.1 \
   share/man/man1/badgeragent.1 share/man/man1/badgerctl.1 share/man/man1/badgerlab.1 share/bash-completion/completions/badgerctl \
   include/fordlb/balancer.h share/doc/fordlb/README.md; do
   expect "$file is there" test -s "$prefix/$file"
 done
-for program in badgerbridge badgeragent badgerctl badgerlab; do
+for program in badgerbridge badgeragent badgerctl badgerlab badgerrelay; do
   expect "$program --version tells version and what is built in" \
     bash -c "'$prefix/bin/$program' --version | tr '\n' ' ' | grep -q '^$program [0-9.]* built in: [a-zA-Z]'"
   expect "$program.1 is a manual page with its options" \
@@ -43,6 +43,8 @@
 for file in operator fleet context; do
   expect "badgerctl check $file.toml" "$prefix/bin/badgerctl" check "$prefix/etc/badgerbridge/$file.toml"
 done
+expect "badgerrelay --check takes the installed relay.toml" "$prefix/bin/badgerrelay" --check --listen 127.0.0.1:0 \
+  --upstream 127.0.0.1:2379 --prefix /badgerbridge/ --config "$prefix/etc/badgerbridge/relay.toml"
 expect "badgerlab plays an installed scenario" \
   "$prefix/bin/badgerlab" run "$prefix/share/badgerbridge/scenarios/calm.toml" --most-steps 10000
 expect "the completion is bash" bash -n "$prefix/share/bash-completion/completions/badgerctl"
@@ -68,6 +70,7 @@
 dpkg-deb --contents "$package" | awk '{ print $6 }' >"$work/contents"
 for file in ./usr/bin/badgerbridge ./usr/bin/badgeragent ./usr/bin/badgerctl ./etc/badgerbridge/operator.toml \
   ./etc/badgerbridge/fleet.toml ./etc/badgerbridge/context.toml ./usr/lib/systemd/system/badgeragent.service \
+  ./usr/bin/badgerrelay ./etc/badgerbridge/relay.toml ./usr/lib/systemd/system/badgerrelay.service \
   ./usr/share/man/man1/badgerctl.1 ./usr/share/bash-completion/completions/badgerctl ./usr/include/fordlb/balancer.h; do
   expect "the package has $file" grep -qx "$file" "$work/contents"
 done
@@ -79,5 +82,7 @@
 dpkg-deb --extract "$package" "$work/unpacked"
 expect "its units name its programs" grep -qx \
   'ExecStart=/usr/bin/badgeragent --fleet /etc/badgerbridge/fleet.toml' "$work/unpacked/usr/lib/systemd/system/badgeragent.service"
+expect "the relay's unit reads what its administrator writes" grep -qx \
+  'EnvironmentFile=/etc/badgerbridge/relay.env' "$work/unpacked/usr/lib/systemd/system/badgerrelay.service"
 expect "and its programs run" "$work/unpacked/usr/bin/badgerctl" --version
 echo "$passed passed, 0 failed"
--- a/tests/relay/program_test.cpp
+++ b/tests/relay/program_test.cpp
@@ -121,6 +121,59 @@
   EXPECT_EQ(program->exit_code(), 0);
 }
 
+TEST_F(ProgramTest, KilledAndStartedAgainItsReadersEndWithTheSourcesState) {
+  StartEtcd();
+  auto program = Run();
+  ASSERT_TRUE(Until([&] { return program->Address().has_value(); })) << program->Log();
+  const tcp::endpoint address = *program->Address();
+  const auto reader = MakeReader({address});
+  ASSERT_TRUE(Until([&] { return Holds(*reader); })) << reader->last_error;
+  const auto held = reader->keys;
+  Put("m1", "Terminating");  // it may be on its way
+  program->Signal(SIGKILL);
+  ASSERT_TRUE(Until([&] { return program->ended() && reader->disconnects > 0; }));
+  EXPECT_EQ(reader->keys.size(), held.size());
+  Delete("m2");
+  program =
+      std::make_unique<Program>(std::vector<std::string>{"--listen", api::ToText(address), "--upstream",
+                                                         api::ToText(etcd->address(0)), "--prefix", kPrefix},
+                                directory + "/log");
+  ASSERT_TRUE(Until([&] { return Holds(*reader); })) << reader->last_error << program->Log();
+  EXPECT_EQ(reader->drains[kPrefix + "m1"], 1);
+  EXPECT_EQ(reader->went_back, 0);
+}
+
+TEST_F(ProgramTest, TheExampleOfItsFileIsWhole) {
+  StartEtcd();
+  const auto program = Run({"--check", "--config", SOURCE_DIR "/deploy/relay.toml"});
+  ASSERT_TRUE(Until([&] { return program->ended(); }));
+  EXPECT_EQ(program->exit_code(), 0) << program->Log();
+  // Each key of it stands there with its default.
+  ServiceSettings defaults, from_file;
+  operator_file::Problems problems;
+  LoadFile(SOURCE_DIR "/deploy/relay.toml", &from_file, problems);
+  EXPECT_TRUE(problems.empty()) << operator_file::Lines(problems);
+  EXPECT_EQ(from_file.relay.drain_period, defaults.relay.drain_period);
+  EXPECT_EQ(from_file.relay.window_bytes, defaults.relay.window_bytes);
+  EXPECT_EQ(from_file.relay.window_events, defaults.relay.window_events);
+  EXPECT_EQ(from_file.relay.backlog_bytes, defaults.relay.backlog_bytes);
+  EXPECT_EQ(from_file.relay.merged_events, defaults.relay.merged_events);
+  EXPECT_EQ(from_file.relay.max_subscribers, defaults.relay.max_subscribers);
+  EXPECT_EQ(from_file.relay.max_waiting_reads, defaults.relay.max_waiting_reads);
+  EXPECT_EQ(from_file.relay.read_timeout, defaults.relay.read_timeout);
+  EXPECT_EQ(from_file.relay.progress_interval, defaults.relay.progress_interval);
+  EXPECT_EQ(from_file.relay.list_bytes_per_second, defaults.relay.list_bytes_per_second);
+  EXPECT_EQ(from_file.relay.list_burst_bytes, defaults.relay.list_burst_bytes);
+  EXPECT_EQ(from_file.server.connections, defaults.server.connections);
+  EXPECT_EQ(from_file.server.ping_every, defaults.server.ping_every);
+  EXPECT_EQ(from_file.server.ping_timeout, defaults.server.ping_timeout);
+  EXPECT_EQ(from_file.server.idle_timeout, defaults.server.idle_timeout);
+  EXPECT_EQ(from_file.server.stall_timeout, defaults.server.stall_timeout);
+  EXPECT_EQ(from_file.watches_per_connection, defaults.watches_per_connection);
+  EXPECT_EQ(from_file.upstream.channel.ping_every, defaults.upstream.channel.ping_every);
+  EXPECT_EQ(from_file.upstream.channel.ping_timeout, defaults.upstream.channel.ping_timeout);
+}
+
 TEST_F(ProgramTest, WhatIsWrongIsSaidInALine) {
   StartEtcd();
   const auto expect = [&](std::vector<std::string> arguments, const std::string& text) {
@@ -141,6 +194,12 @@
   expect(with_file, "relay.toml:1");
   expect(with_file, "relay.toml:3");
   expect(with_file, "relay.toml:5");
+  WriteFile("[upstream]\nuser = \"u\"\npassword_file = \"/nowhere\"\nendpoints = [\"127.0.0.1:1\"]\n");
+  expect(with_file, "--upstream's");
+  WriteFile("[upstream]\nuser = \"u\"\npassword_file = \"/nowhere\"\n");
+  expect(with_file, "/nowhere");
+  expect({"--listen", "127.0.0.1:0", "--upstream", "127.0.0.1:1", "--prefix", "/a/", "--config", "/nowhere"},
+         "/nowhere");
 }
 
 TEST_F(ProgramTest, TheStatusSocketTellsRevisionUpstreamAndAge) {
--- a/tests/relay/service_test.cpp
+++ b/tests/relay/service_test.cpp
@@ -5,6 +5,7 @@
 #include "relay/service.h"
 
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 
 #include <boost/asio/write.hpp>
 
@@ -491,6 +492,88 @@
   EXPECT_TRUE(reader->keys.count(kPrefix + "other"));
 }
 
+TEST_F(ServiceTest, ARevisionThatGoesBackLeadsReadersToTheSourcesState) {
+  StartEtcd();
+  const auto region = MakeRelay({etcd->address(0)});
+  const auto zone = MakeRelay({region->address()});
+  const auto reader = MakeReader({zone->address()});
+  ASSERT_TRUE(Until([&] { return Holds(*reader); }));
+  const standins::EtcdStore backup = etcd->store();
+  for (int i = 0; i < 5; ++i) Put("later" + std::to_string(i));
+  ASSERT_TRUE(Until([&] { return Holds(*reader); }));
+  etcd->Restore(backup, 0x1234);  // the cluster's id is the same
+  ASSERT_TRUE(Until([&] { return Holds(*reader) && reader->revision == etcd->store().revision(); }))
+      << reader->last_error;
+  EXPECT_FALSE(reader->keys.count(kPrefix + "later1"));
+}
+
+TEST_F(ServiceTest, ARelayRestartedEmptyTakesItsReadersBackWithOneListAtTheSource) {
+  StartEtcd({}, 30);
+  auto relay = MakeRelay({etcd->address(0)});
+  ASSERT_TRUE(Until([&] { return Follows(*relay); }));
+  ServiceSettings again = RelaySettings({etcd->address(0)});
+  again.listen = relay->address();
+  std::vector<std::unique_ptr<Reader>> readers;
+  for (int i = 0; i < 150; ++i) readers.push_back(MakeReader({relay->address()}));
+  const auto all_hold = [&] {
+    const auto truth = Truth();
+    return std::all_of(readers.begin(), readers.end(),
+                       [&](const auto& one) { return one->watching() && one->keys == truth; });
+  };
+  ASSERT_TRUE(Until(all_hold));
+  const std::size_t reads = etcd->calls(kRangePath), watches = etcd->calls(kWatchPath);
+  relay.reset();
+  Put("m1", "Terminating");
+  Delete("m2");
+  relay = MakeRelayWith(again);
+  ASSERT_TRUE(Until(all_hold));
+  EXPECT_EQ(etcd->watches(), 1u);
+  EXPECT_EQ(relay->status().snapshots, 1u);
+  EXPECT_EQ(etcd->calls(kWatchPath), watches + 1);
+  // The relay's own list is one page; all else are reads of one key that confirm a revision.
+  EXPECT_EQ(etcd->calls(kRangePath) - reads, relay->status().confirmations + 1);
+  for (const auto& reader : readers) {
+    EXPECT_EQ(reader->went_back, 0);
+    EXPECT_EQ(reader->drains[kPrefix + "m1"], 1);
+  }
+}
+
+TEST_F(ServiceTest, WithoutDescriptorsAcceptingPausesAndWatchesGoOn) {
+  StartEtcd();
+  const auto relay = MakeRelay({etcd->address(0)});
+  const auto reader = MakeReader({relay->address()});
+  ASSERT_TRUE(Until([&] { return Holds(*reader); }));
+  tcp::socket waiting(io, tcp::v4());
+  rlimit usual{};
+  ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &usual), 0);
+  rlimit none = usual;
+  none.rlim_cur = 3;
+  ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &none), 0);
+  waiting.connect(relay->address());
+  Put("m1", "Terminating");
+  EXPECT_TRUE(Until([&] { return reader->drains[kPrefix + "m1"] == 1; }));
+  RunFor(milliseconds(120));  // more than one pause of the accept loop
+  EXPECT_EQ(relay->connections(), 1u);
+  ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &usual), 0);
+  EXPECT_TRUE(Until([&] { return relay->connections() == 2; }));
+  EXPECT_EQ(reader->disconnects, 0);
+}
+
+TEST_F(ServiceTest, ConnectionsBeyondTheBoundWait) {
+  StartEtcd();
+  ServiceSettings settings = RelaySettings({etcd->address(0)});
+  settings.server.connections = 1;
+  const auto relay = MakeRelayWith(settings);
+  auto first = MakeReader({relay->address()});
+  ASSERT_TRUE(Until([&] { return Holds(*first); }));
+  const auto second = MakeReader({relay->address()});
+  RunFor(milliseconds(100));
+  EXPECT_EQ(relay->connections(), 1u);
+  EXPECT_FALSE(second->watching());
+  first.reset();
+  ASSERT_TRUE(Until([&] { return Holds(*second); })) << second->last_error;
+}
+
 TEST_F(ServiceTest, AShutdownSendsReadersElsewhereOverItsPeriod) {
   StartEtcd();
   ServiceSettings settings = RelaySettings({etcd->address(0)});
