Test the relay's refusals, a lying parent and one revision in fragments

Paths of the shell that nothing had made happen: an answer behind unread ones, an idle connection, watches beyond a connection's bound, a list that the core rejects, after which another parent is asked.

--- a/tests/relay/service_test.cpp
+++ b/tests/relay/service_test.cpp
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 #include <sys/resource.h>
 
+#include <array>
 #include <boost/asio/write.hpp>
 
 #include "etcd/key_range.h"
@@ -290,6 +291,28 @@
   }
 }
 
+TEST_F(ServiceTest, OneRevisionOfManyKeysComesInFragments) {
+  StartEtcd();
+  ServiceSettings settings = RelaySettings({etcd->address(0)});
+  settings.message_bytes = 300;
+  const auto relay = MakeRelayWith(settings);
+  ASSERT_TRUE(Until([&] { return Follows(*relay); }));
+  pb::WatchRequest request;
+  ASSERT_TRUE(request.ParseFromString(CreateRequest(etcd->store().revision() + 1)));
+  request.mutable_create_request()->set_fragment(true);
+  WatchStream stream;
+  stream.Open(OpenChannel(relay->address()), request.SerializeAsString());
+  ASSERT_TRUE(Until([&] { return stream.responses.size() == 1; }));
+  std::vector<std::pair<std::string, std::string>> pairs;
+  for (int k = 0; k < 4; ++k) pairs.emplace_back(kPrefix + std::to_string(k), MemberValue(std::to_string(k)));
+  etcd->store().PutAll(pairs);
+  etcd->Publish();
+  ASSERT_TRUE(Until([&] { return stream.EventsOf(0) == 4; }));
+  EXPECT_GT(stream.responses.size(), 2u);
+  EXPECT_TRUE(stream.responses[1].fragment());
+  EXPECT_FALSE(stream.responses.back().fragment());
+}
+
 TEST_F(ServiceTest, UpstreamCutAndBackResumesAndReadersKeepWhatTheyHave) {
   StartEtcd();
   const auto relay = MakeRelay({etcd->address(0)});
@@ -465,6 +488,127 @@
   ASSERT_TRUE(Until([&] { return relay->connections() == 0; }));
 }
 
+TEST_F(ServiceTest, AnAnswerBehindUnreadOnesIsRefusedInWords) {
+  StartEtcd({}, 4);
+  const std::string large(64 << 10, 'x');
+  for (int i = 0; i < 40; ++i) etcd->Put(kPrefix + "large" + std::to_string(i), large);
+  ServiceSettings settings = RelaySettings({etcd->address(0)});
+  settings.server.limits.unsent = 100 << 10;
+  const auto relay = MakeRelayWith(settings);
+  ASSERT_TRUE(Until([&] { return Follows(*relay); }));
+  tcp::socket socket(io);
+  socket.connect(relay->address());
+  std::vector<etcd::Status> ends;
+  std::size_t received = 0;
+  etcd::Http2Client client("slow");
+  for (int i = 0; i < 2; ++i) {
+    etcd::CallHandler handler;
+    handler.on_message = [&](std::string_view text) { received += text.size(); };
+    handler.on_end = [&](const etcd::Status& status) { ends.push_back(status); };
+    client.Begin(kRangePath, {}, ListRequest().SerializeAsString(), true, std::move(handler));
+  }
+  boost::asio::write(socket, boost::asio::buffer(client.TakeOutput()));
+  ASSERT_TRUE(Until([&] { return relay->status().lists == 2 && relay->status().waiting_reads == 0; }));
+  // Only now it reads.
+  std::array<char, 65536> piece;
+  ASSERT_TRUE(Until([&] {
+    if (socket.available() == 0) return ends.size() == 2;
+    client.Feed({piece.data(), socket.read_some(boost::asio::buffer(piece))});
+    boost::asio::write(socket, boost::asio::buffer(client.TakeOutput()));
+    return ends.size() == 2;
+  }));
+  EXPECT_EQ(ends[0].ok() + ends[1].ok(), 1);
+  const etcd::Status& refused = ends[0].ok() ? ends[1] : ends[0];
+  EXPECT_EQ(refused.code, Code::kResourceExhausted) << refused.Text();
+  EXPECT_GT(received, 40 * large.size());
+}
+
+TEST_F(ServiceTest, AConnectionWithoutCallsIsEndedAfterItsTime) {
+  StartEtcd();
+  ServiceSettings settings = RelaySettings({etcd->address(0)});
+  settings.server.idle_timeout = milliseconds(100);
+  const auto relay = MakeRelayWith(settings);
+  ASSERT_TRUE(Until([&] { return Follows(*relay); }));
+  const auto busy = MakeReader({relay->address()});
+  const auto idle = OpenChannel(relay->address());
+  ASSERT_TRUE(Until([&] { return idle->going_away(); }));
+  ASSERT_TRUE(Until([&] { return relay->connections() == 1 && Holds(*busy); }));
+  RunFor(milliseconds(300));
+  EXPECT_EQ(busy->disconnects, 0);
+}
+
+TEST_F(ServiceTest, WatchesBeyondTheBoundOfAConnectionEndTheirStreamAlone) {
+  StartEtcd();
+  ServiceSettings settings = RelaySettings({etcd->address(0)});
+  settings.watches_per_connection = 2;
+  const auto relay = MakeRelayWith(settings);
+  ASSERT_TRUE(Until([&] { return Follows(*relay); }));
+  const auto channel = OpenChannel(relay->address());
+  const std::string create = CreateRequest(etcd->store().revision() + 1);
+  WatchStream first, second;
+  first.Open(channel, create);
+  first.channel->Send(first.call, create, false);
+  ASSERT_TRUE(Until([&] { return first.responses.size() == 2; }));
+  second.Open(channel, create);
+  ASSERT_TRUE(Until([&] { return second.ended.has_value(); }));
+  EXPECT_EQ(second.ended->code, Code::kResourceExhausted);
+  EXPECT_FALSE(first.ended);
+  Put("m1");
+  EXPECT_TRUE(Until([&] { return first.EventsOf(0) == 1 && first.EventsOf(1) == 1; }));
+}
+
+// A parent whose lists hold a key of a revision after the list's own.
+class LyingParent {
+ public:
+  explicit LyingParent(boost::asio::io_context& io) {
+    server_ = std::make_unique<etcd::Server>(
+        io, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0), etcd::ServerOptions{},
+        [this](const std::shared_ptr<etcd::ServerConnection>& link) { return Handlers(link); });
+  }
+  tcp::endpoint address() const { return server_->address(); }
+  int lies() const { return lies_; }
+
+ private:
+  etcd::Http2ServerHandler Handlers(const std::weak_ptr<etcd::ServerConnection>& link) {
+    etcd::Http2ServerHandler handler;
+    handler.on_half_closed = [this, link](etcd::StreamId stream) {
+      pb::RangeResponse list;
+      list.mutable_header()->set_cluster_id(0x1234);
+      list.mutable_header()->set_revision(1000);
+      auto* kv = list.add_kvs();
+      kv->set_key(kPrefix + "lie");
+      kv->set_value(MemberValue("lie"));
+      kv->set_mod_revision(1001);
+      etcd::Http2Server& http2 = link.lock()->http2();
+      http2.Send(stream, list.SerializeAsString());
+      http2.Finish(stream, {});
+      ++lies_;
+    };
+    return handler;
+  }
+
+  int lies_ = 0;
+  std::unique_ptr<etcd::Server> server_;
+};
+
+TEST_F(ServiceTest, ALyingParentIsLeftForAnother) {
+  StartEtcd();
+  LyingParent parent(io);
+  // Which of the two is met first is drawn: until the lie was told.
+  std::unique_ptr<Service> relay;
+  for (int i = 0; i < 50 && parent.lies() == 0; ++i) {
+    relay = MakeRelay({parent.address(), etcd->address(0)});
+    ASSERT_TRUE(Until([&] { return parent.lies() > 0 || Follows(*relay); }));
+  }
+  ASSERT_GT(parent.lies(), 0);
+  const auto reader = MakeReader({relay->address()});
+  ASSERT_TRUE(Until([&] { return Follows(*relay) && Holds(*reader); }))
+      << relay->status().last_upstream_error;
+  EXPECT_EQ(relay->status().upstream_rejected, 1u);
+  EXPECT_FALSE(reader->keys.count(kPrefix + "lie"));
+  EXPECT_EQ(reader->went_back, 0);
+}
+
 TEST_F(ServiceTest, ASilentClientIsAskedAndThenEnded) {
   StartEtcd();
   ServiceSettings settings = RelaySettings({etcd->address(0)});
