Show with badgerctl relays how far behind each relay is

Asks the status sockets that are named; behind is counted against the newest revision among them of the same cluster, since no relay can know the source's. Tested with one relay that follows a lagging member.

--- a/src/ctl/completion.cpp
+++ b/src/ctl/completion.cpp
@@ -10,7 +10,7 @@
   local cur="${COMP_WORDS[COMP_CWORD]}" command="" word
   for word in "${COMP_WORDS[@]:1:COMP_CWORD-1}"; do
     case "$word" in
-      status|get|start|stop|drain|undrain|reload|roll|apply|diff|orders|logs|watch|members|zones|check|completion)
+      status|get|start|stop|drain|undrain|reload|roll|apply|diff|orders|logs|watch|members|relays|zones|check|completion)
         command="$word"; break ;;
     esac
   done
@@ -22,9 +22,9 @@
   fi
   case "$command" in
     "") COMPREPLY=($(compgen -W "status get start stop drain undrain reload roll apply diff orders logs watch members
-          zones check completion" -- "$cur")) ;;
+          relays zones check completion" -- "$cur")) ;;
     zones) COMPREPLY=($(compgen -W "evacuate return history" -- "$cur")) ;;
-    apply|diff|check) COMPREPLY=($(compgen -f -- "$cur")) ;;
+    apply|diff|check|relays) COMPREPLY=($(compgen -f -- "$cur")) ;;
     completion) COMPREPLY=($(compgen -W "bash" -- "$cur")) ;;
     *) COMPREPLY=($(compgen -W "$(badgerctl status -o names --timeout 1s 2>/dev/null)" -- "$cur")) ;;
   esac
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -9,6 +9,7 @@
 #include <iostream>
 
 #include "ctl/commands.h"
+#include "ctl/relays.h"
 #ifdef BADGERBRIDGE_HAS_ETCD
 #include "ctl/etcd_commands.h"
 #include "ctl/zones.h"
@@ -50,7 +51,7 @@
   std::string context, socket, output = "table", timeout, file, order, shell;
   std::string deadline = "30s", force_after, every = "1s";
   std::string operators;  // the operator's file that says where etcd is
-  std::vector<std::string> etcd, converters;
+  std::vector<std::string> etcd, converters, relays;
   std::string address, zone, kind, ttl = "10s", drain_for = "2s";
   int group = 0;
   double weight = 1, since_ms = 0;
@@ -206,6 +207,20 @@
 }
 #endif
 
+int RunRelays(const Arguments& a) {
+  ctl::RelaysCommand how;
+  how.sockets = a.relays;
+  how.json = a.output == "json";
+  const char* no_color = std::getenv("NO_COLOR");
+  how.color = isatty(STDOUT_FILENO) && !(no_color && *no_color);
+  if (!a.timeout.empty()) {
+    const auto timeout = Parse(a.timeout, "--timeout");
+    if (!timeout) return ctl::kUsage;
+    how.timeout = std::max(*timeout, milliseconds(1));
+  }
+  return ctl::ShowRelays(how, std::cout, std::cerr);
+}
+
 int Run(const CLI::App& app, Arguments& a) {
   const CLI::App* chosen = app.get_subcommands().front();
   const std::string command = chosen->get_name();
@@ -216,6 +231,7 @@
   if (command == "zones")
     return RunZones(chosen->get_subcommands().empty() ? "" : chosen->get_subcommands().front()->get_name(),
                     a);
+  if (command == "relays") return RunRelays(a);
   if (command == "check") return Check(a.file);
   if (command == "completion") {
     std::cout << ctl::kBashCompletion;
@@ -354,6 +370,9 @@
   member->add_option("--drain-for", a.drain_for, "at the end: how long it says that it drains (2s)");
   AddSelection(members->add_subcommand("release", "departures that proxies hold back have really happened"),
                a);
+  app.add_subcommand("relays", "what relays hold, and how far behind each is")
+      ->add_option("sockets", a.relays, "their status sockets (badgerrelay --status-socket)")
+      ->required();
   auto* zones = app.add_subcommand("zones", "how much goes to each zone, as all proxies have decided");
   const auto with_file = [&](CLI::App* sub) {
     sub->add_option("--operator", a.operators,
