--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -73,8 +73,11 @@
   }
   std::optional<MembershipSource> membership;
   if (operators.etcd) {
-    membership.emplace(io, config, *operators.etcd,
-                       [&proxy](const EndpointList& list) { proxy.UpdateList(ListKind::kDelta, list); });
+    membership.emplace(
+        io, config, *operators.etcd,
+        [&proxy](const EndpointList& list) { proxy.UpdateList(ListKind::kDelta, list); },
+        [&proxy] { proxy.SetListComplete(true); });
+    if (known.endpoints.empty()) proxy.SetListComplete(false);
     membership->Known(known);
   }
 #endif
@@ -183,6 +186,7 @@
       operators = badgerbridge::operator_file::Load(path, problems);
       std::cerr << badgerbridge::operator_file::Lines(problems);
       if (!problems.empty()) return 1;
+      std::cerr << badgerbridge::operator_file::Lines(operators.warnings);
     }
     const badgerbridge::node::Environment environment = [](const char* name) { return std::getenv(name); };
     badgerbridge::app::Run(badgerbridge::node::ReadConfig(environment), operators, environment);
