--- a/bench/scale_rig/trial.cpp
+++ b/bench/scale_rig/trial.cpp
@@ -22,7 +22,7 @@
 constexpr double kMostStarts = 500;       // a second
 constexpr double kAtOnce = 1e9;           // a second
 constexpr milliseconds kPoll{50};
-constexpr milliseconds kInForceTimeout{10000}, kCheckTimeout{15000};
+constexpr milliseconds kInForceTimeout{10000};
 // What the product promises at its full size.
 constexpr milliseconds kDrainBound{500}, kChangeBound{5000}, kReadyBound{10000};
 constexpr std::size_t kTenth = 10;
@@ -271,6 +271,7 @@
   const Usage usage = Since(before);
   SpreadResult result = AwaitInForce(written.at("writes").as_array(), false);
   result.usage = usage;
+  result.opened = Since(before).opened;
   result.publish_ms = Summarize(DoublesIn(written, "publish_ms"));
   ExpectWithin(kChangeBound, result, "a write was in force later than 5 s at a proxy");
   if (kind == "drain") {
@@ -285,6 +286,7 @@
   const json::object written = source_->Call({{"command", "zone"}, {"zone", zone}, {"gone", gone}});
   SpreadResult result = AwaitInForce(written.at("writes").as_array(), true);
   result.usage = Since(before);
+  result.opened = result.usage.opened;
   result.writes = written.at("backends").to_number<std::size_t>();
   result.publish_ms = Summarize({NumberAt(written, "publish_ms")});
   ExpectWithin(kChangeBound, result, "a zone's change was in force later than 5 s at a proxy");
@@ -330,7 +332,7 @@
 }
 
 std::size_t Trial::Check() {
-  const auto due = steady_clock::now() + kCheckTimeout;
+  const auto due = steady_clock::now() + settings_.check_timeout;
   std::size_t differ = 0, ledgers_differ = 0;
   std::string first;
   do {
--- a/bench/scale_rig/trial.h
+++ b/bench/scale_rig/trial.h
@@ -28,6 +28,7 @@
   std::size_t first_tier = 1, second_tier = 2;  // how many relays
   double start_per_second = 0;                  // 0: so that kStartEntries are listed a second
   std::chrono::milliseconds ready_timeout{60000};
+  std::chrono::milliseconds check_timeout{15000};  // until every proxy's state is the source's
 };
 
 // What is spent over some time, by whom.
@@ -56,6 +57,7 @@
 };
 
 struct SpreadResult {
+  double opened = 0;  // connections, by all proxies, until all was in force
   std::size_t writes = 0,
               missing = 0;   // missing: writes not in force at a proxy in time, summed over proxies
   Distribution in_force_ms;  // of every write at every proxy
--- a/src/operator/operator_file.cpp
+++ b/src/operator/operator_file.cpp
@@ -2,6 +2,7 @@
 #include "operator/operator_file.h"
 
 #include <algorithm>
+#include <set>
 
 #include "api/address.h"
 #include "operator/table_reader.h"
@@ -43,11 +44,11 @@
   return endpoint && endpoint->port() > 0;
 }
 
-void ReadPrefix(TableReader& table, std::string& prefix) {
+void ReadPrefix(TableReader& table, std::string& prefix, const char* key = "prefix") {
   const std::string usual = prefix;
-  prefix = table.Text("prefix", usual);
+  prefix = table.Text(key, usual);
   if (prefix.empty() || prefix.size() > 512)
-    table.Report("prefix", "is empty or too long; \"" + usual + "\" would be right");
+    table.Report(key, "is empty or too long; \"" + usual + "\" would be right");
 }
 
 void NeedsEtcd([[maybe_unused]] TableReader& table) {
@@ -56,12 +57,32 @@
 #endif
 }
 
+constexpr std::size_t kMaxServices = 256;
+constexpr std::size_t kMaxServiceName = 128;
+
+// Which services a proxy follows.
+void ReadServices(TableReader& table, Etcd& etcd) {
+  etcd.services = table.Texts("services");
+  ReadPrefix(table, etcd.services_prefix, "services_prefix");
+  if (etcd.services.size() > kMaxServices)
+    table.Report("services", "names " + std::to_string(etcd.services.size()) + "; at most " +
+                                 std::to_string(kMaxServices) + " would be right");
+  std::set<std::string> seen;
+  for (const std::string& service : etcd.services) {
+    if (service.empty() || service.size() > kMaxServiceName || service.find('/') != std::string::npos)
+      table.Report("services", "names \"" + service.substr(0, kMaxServiceName) + "\"; a name of 1 to " +
+                                   std::to_string(kMaxServiceName) + " characters without / would be right");
+    if (!seen.insert(service).second) table.Report("services", "names " + service + " twice");
+  }
+}
+
 Etcd ReadEtcd(TableReader& table) {
   Etcd etcd;
   NeedsEtcd(table);
   table.Require("endpoints", "the members' addresses, as in endpoints = [\"127.0.0.1:2379\"]");
   ReadEtcdLink(table, etcd);
   ReadPrefix(table, etcd.prefix);
+  ReadServices(table, etcd);
   const std::string authority = table.Text("authority", "etcd");
   if (authority != "etcd" && authority != "discovery")
     table.Report("authority", "is \"" + authority + "\"; etcd or discovery would be right");
@@ -73,7 +94,7 @@
 
 constexpr std::size_t kMostZones = 64;
 
-Regions ReadRegions(TableReader& table) {
+Regions ReadRegions(TableReader& table, Problems& warnings) {
   Regions regions;
   NeedsEtcd(table);
   const std::string decide = table.Text("decide", "together");
@@ -103,10 +124,11 @@
   regions.lease = table.Duration("lease", regions.lease, milliseconds(1000), milliseconds(60000));
   if (regions.lease.count() % 1000 != 0)
     table.Report("lease", "is no whole number of seconds; \"3s\" would be right");
-  regions.beat = table.Duration("beat", regions.beat, milliseconds(50), milliseconds(10000));
-  if (regions.beat * 3 > regions.lease)
-    table.Report(table.Has("beat") ? "beat" : "lease",
-                 "contradicts the other time: three beats (" + FormatDuration(regions.beat) +
+  const std::string_view heartbeat = table.Spelling("heartbeat", "beat", warnings);
+  regions.heartbeat = table.Duration(heartbeat, regions.heartbeat, milliseconds(50), milliseconds(10000));
+  if (regions.heartbeat * 3 > regions.lease)
+    table.Report(table.Has(heartbeat) ? heartbeat : "lease",
+                 "contradicts the other time: three heartbeats (" + FormatDuration(regions.heartbeat) +
                      ") must fit into a lease (" + FormatDuration(regions.lease) + ")");
   regions.hold = table.Duration("hold", regions.hold, milliseconds(500), milliseconds(600000));
   regions.step = table.Duration("step", regions.step, milliseconds(100), milliseconds(60000));
@@ -137,7 +159,8 @@
   Regions& regions = *file.regions;
   if (!regions.together || !regions.endpoints.empty()) return;
   if (file.etcd) {
-    static_cast<EtcdLink&>(regions) = *file.etcd;
+    const EtcdLink& link = *file.etcd;
+    static_cast<EtcdLink&>(regions) = link;
     return;
   }
   table.Report("regions",
@@ -179,7 +202,7 @@
   TableReader reader(*root, "", file, problems);
   if (const auto control = reader.Table("control")) out.control = ReadControl(*control);
   if (const auto etcd = reader.Table("etcd")) out.etcd = ReadEtcd(*etcd);
-  if (const auto regions = reader.Table("regions")) out.regions = ReadRegions(*regions);
+  if (const auto regions = reader.Table("regions")) out.regions = ReadRegions(*regions, out.warnings);
   if (out.regions) LinkRegions(reader, out);
   reader.Finish();
   return out;
--- a/src/operator/operator_file.h
+++ b/src/operator/operator_file.h
@@ -38,6 +38,10 @@
 // Membership from etcd, beside discovery.
 struct Etcd : EtcdLink {
   std::string prefix = "/badgerbridge/converters/";
+  // The services whose members are followed, and no others; empty: all members, under `prefix`. The keys are
+  // services_prefix + service + "/" + name.
+  std::vector<std::string> services;
+  std::string services_prefix = "/badgerbridge/services/";
   bool authority = true;  // joins need etcd's word; else discovery's, and etcd tells drains and departures
   int most_departures_percent = 50;
 };
@@ -52,7 +56,7 @@
   bool together = true;  // false: by own evidence alone, and etcd is not asked
   std::string prefix = "/badgerbridge/regions/";
   std::vector<std::string> zones;  // in the order of the proxies' configuration
-  std::chrono::milliseconds lease{3000}, beat{250}, hold{5000}, step{400};
+  std::chrono::milliseconds lease{3000}, heartbeat{250}, hold{5000}, step{400};
   std::chrono::milliseconds round_trip{1};  // between two zones of which no link speaks
   int price_percent = 10;                   // of work that crosses, likewise
   std::vector<Link> links;
@@ -62,6 +66,7 @@
   std::optional<Control> control;
   std::optional<Etcd> etcd;
   std::optional<Regions> regions;
+  Problems warnings;  // former names of keys: they go on working
 };
 
 constexpr std::size_t kMostBytes = 1 << 20;
--- a/tests/relay/program_test.cpp
+++ b/tests/relay/program_test.cpp
@@ -11,6 +11,7 @@
 #include <fstream>
 
 #include "api/address.h"
+#include "api/server.h"
 #include "etcd/key_range.h"
 #include "relay/service_harness.h"
 #include "standins/certificates.h"
@@ -75,7 +76,7 @@
   }
   void TearDown() override {
     for (const char* file : {"log", "relay.toml", "authority.pem", "relay.pem", "relay.key", "reader.pem",
-                             "reader.key", "status"})
+                             "reader.key", "status", "other"})
       unlink((directory + "/" + file).c_str());
     rmdir(directory.c_str());
   }
@@ -121,6 +122,59 @@
   EXPECT_EQ(program->exit_code(), 0);
 }
 
+TEST_F(ProgramTest, KilledAndStartedAgainItsReadersEndWithTheSourcesState) {
+  StartEtcd();
+  auto program = Run();
+  ASSERT_TRUE(Until([&] { return program->Address().has_value(); })) << program->Log();
+  const tcp::endpoint address = *program->Address();
+  const auto reader = MakeReader({address});
+  ASSERT_TRUE(Until([&] { return Holds(*reader); })) << reader->last_error;
+  const auto held = reader->keys;
+  Put("m1", "Terminating");  // it may be on its way
+  program->Signal(SIGKILL);
+  ASSERT_TRUE(Until([&] { return program->ended() && reader->disconnects > 0; }));
+  EXPECT_EQ(reader->keys.size(), held.size());
+  Delete("m2");
+  program =
+      std::make_unique<Program>(std::vector<std::string>{"--listen", api::ToText(address), "--upstream",
+                                                         api::ToText(etcd->address(0)), "--prefix", kPrefix},
+                                directory + "/log");
+  ASSERT_TRUE(Until([&] { return Holds(*reader); })) << reader->last_error << program->Log();
+  EXPECT_GE(reader->drains[kPrefix + "m1"], 1);
+  EXPECT_EQ(reader->went_back, 0);
+}
+
+TEST_F(ProgramTest, TheExampleOfItsFileIsWhole) {
+  StartEtcd();
+  const auto program = Run({"--check", "--config", SOURCE_DIR "/deploy/relay.toml"});
+  ASSERT_TRUE(Until([&] { return program->ended(); }));
+  EXPECT_EQ(program->exit_code(), 0) << program->Log();
+  // Each key of it stands there with its default.
+  ServiceSettings defaults, from_file;
+  operator_file::Problems problems;
+  LoadFile(SOURCE_DIR "/deploy/relay.toml", &from_file, problems);
+  EXPECT_TRUE(problems.empty()) << operator_file::Lines(problems);
+  EXPECT_EQ(from_file.relay.drain_period, defaults.relay.drain_period);
+  EXPECT_EQ(from_file.relay.window_bytes, defaults.relay.window_bytes);
+  EXPECT_EQ(from_file.relay.window_events, defaults.relay.window_events);
+  EXPECT_EQ(from_file.relay.backlog_bytes, defaults.relay.backlog_bytes);
+  EXPECT_EQ(from_file.relay.merged_events, defaults.relay.merged_events);
+  EXPECT_EQ(from_file.relay.max_subscribers, defaults.relay.max_subscribers);
+  EXPECT_EQ(from_file.relay.max_waiting_reads, defaults.relay.max_waiting_reads);
+  EXPECT_EQ(from_file.relay.read_timeout, defaults.relay.read_timeout);
+  EXPECT_EQ(from_file.relay.progress_interval, defaults.relay.progress_interval);
+  EXPECT_EQ(from_file.relay.list_bytes_per_second, defaults.relay.list_bytes_per_second);
+  EXPECT_EQ(from_file.relay.list_burst_bytes, defaults.relay.list_burst_bytes);
+  EXPECT_EQ(from_file.server.connections, defaults.server.connections);
+  EXPECT_EQ(from_file.server.ping_every, defaults.server.ping_every);
+  EXPECT_EQ(from_file.server.ping_timeout, defaults.server.ping_timeout);
+  EXPECT_EQ(from_file.server.idle_timeout, defaults.server.idle_timeout);
+  EXPECT_EQ(from_file.server.stall_timeout, defaults.server.stall_timeout);
+  EXPECT_EQ(from_file.watches_per_connection, defaults.watches_per_connection);
+  EXPECT_EQ(from_file.upstream.channel.ping_every, defaults.upstream.channel.ping_every);
+  EXPECT_EQ(from_file.upstream.channel.ping_timeout, defaults.upstream.channel.ping_timeout);
+}
+
 TEST_F(ProgramTest, WhatIsWrongIsSaidInALine) {
   StartEtcd();
   const auto expect = [&](std::vector<std::string> arguments, const std::string& text) {
@@ -141,6 +195,12 @@
   expect(with_file, "relay.toml:1");
   expect(with_file, "relay.toml:3");
   expect(with_file, "relay.toml:5");
+  WriteFile("[upstream]\nuser = \"u\"\npassword_file = \"/nowhere\"\nendpoints = [\"127.0.0.1:1\"]\n");
+  expect(with_file, "--upstream's");
+  WriteFile("[upstream]\nuser = \"u\"\npassword_file = \"/nowhere\"\n");
+  expect(with_file, "/nowhere");
+  expect({"--listen", "127.0.0.1:0", "--upstream", "127.0.0.1:1", "--prefix", "/a/", "--config", "/nowhere"},
+         "/nowhere");
 }
 
 TEST_F(ProgramTest, TheStatusSocketTellsRevisionUpstreamAndAge) {
@@ -166,6 +226,56 @@
   EXPECT_EQ(about.at("readers").at("watches").as_int64(), 1);
 }
 
+TEST_F(ProgramTest, TheToolShowsHowFarBehindEachRelayIs) {
+  standins::EtcdSettings two;
+  two.members = 2;
+  StartEtcd(two);
+  const auto program = Run({"--status-socket", directory + "/status"});
+  ASSERT_TRUE(Until([&] { return program->Address().has_value(); })) << program->Log();
+  const auto reader = MakeReader({*program->Address()});
+  const auto behind = MakeRelay({etcd->address(1)});
+  api::UnixServer other(io, directory + "/other", {}, {},
+                        [&](api::Request, api::Peer) -> boost::asio::awaitable<api::Response> {
+                          co_return api::Response{200, behind->Describe()};
+                        });
+  ASSERT_TRUE(Until([&] { return Holds(*reader) && Follows(*behind); }));
+  etcd->Lag(1, true);
+  Put("m1");
+  Put("m2");
+  ASSERT_TRUE(Until([&] { return Holds(*reader); }));
+  const auto tool = [&](const std::string& arguments, int* code) {
+    const std::string result = directory + "/log2";
+    const pid_t pid = fork();
+    if (pid == 0) {
+      const std::string command = std::string(CTL_PATH) + " relays " + arguments + " >" + result + " 2>&1";
+      execl("/bin/sh", "sh", "-c", command.c_str(), nullptr);
+      _exit(127);
+    }
+    int status = 0;
+    EXPECT_TRUE(Until([&] { return waitpid(pid, &status, WNOHANG) == pid; }));
+    *code = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    std::ifstream file(result);
+    const std::string text{std::istreambuf_iterator<char>(file), {}};
+    unlink(result.c_str());
+    return text;
+  };
+  int code = -1;
+  const std::string sockets = directory + "/status " + directory + "/other";
+  const boost::json::value all = boost::json::parse(tool(sockets + " -o json", &code));
+  EXPECT_EQ(code, 0);
+  ASSERT_EQ(all.as_array().size(), 2u);
+  EXPECT_EQ(all.at(0).at("behind").as_int64(), 0);
+  EXPECT_EQ(all.at(1).at("behind").as_int64(), 2);
+  const std::string table = tool(sockets + " " + directory + "/nothing", &code);
+  EXPECT_EQ(code, 5) << table;  // one is out of reach
+  EXPECT_NE(table.find("BEHIND"), std::string::npos) << table;
+  EXPECT_NE(table.find("connected"), std::string::npos) << table;
+  etcd->Down(1);
+  ASSERT_TRUE(Until([&] { return !behind->status().connected; }));
+  tool(sockets, &code);
+  EXPECT_EQ(code, 1);
+}
+
 TEST_F(ProgramTest, TlsForReadersNeedsTheirCertificate) {
   StartEtcd();
   const standins::Authority authority("authority");
