--- a/src/relay/service.cpp
+++ b/src/relay/service.cpp
@@ -247,7 +247,9 @@
   } else if (request.has_progress_request()) {
     const auto watches = connection->calls.at(stream).watches;
     for (const auto& [watch_id, subscriber] : watches)
-      Run([&](auto* actions) { relay_.RequestProgress(Now(), subscriber, actions); });
+      Run([&, subscriber = subscriber](auto* actions) {
+        relay_.RequestProgress(Now(), subscriber, actions);
+      });
   }
 }
 
