--- a/tests/relay/world.cpp
+++ b/tests/relay/world.cpp
@@ -254,6 +254,10 @@
   });
 }
 
+void Client::Do(const etcd::Follower::AddWatch&) {
+  world_.Violated("a follower without sections adds a watch");
+}
+
 void Client::Do(const etcd::Follower::SnapshotPage& action) {
   if (action.first) pages_.clear();
   pages_.insert(pages_.end(), action.kvs.begin(), action.kvs.end());
--- a/tests/relay/world.h
+++ b/tests/relay/world.h
@@ -124,6 +124,7 @@
   void Do(const etcd::Follower::Authenticate&) {}
   void Do(const etcd::Follower::Range& action);
   void Do(const etcd::Follower::Watch& action);
+  void Do(const etcd::Follower::AddWatch& action);
   void Do(const etcd::Follower::RequestProgress&) { RequestProgress(); }
   void Do(const etcd::Follower::Close&) { Drop(); }
   void Do(const etcd::Follower::SnapshotPage& action);
