--- a/bench/list.cpp
+++ b/bench/list.cpp
@@ -49,7 +49,7 @@
   membership::Member member;
   member.name = NameOf(i);
   member.address = "127.0." + std::to_string(i / 250 % 250 + 1) + "." + std::to_string(i % 250 + 1) + ":9000";
-  member.zone = i % 2 ? "a" : "b";
+  member.zone = std::string(1, i % 2 ? 'a' : 'b');
   member.kind = "standard";
   member.group = static_cast<int>(i % 6500);
   member.state = state;
