Mend what the linter finds in the relay's core, the ledger and etcd's source

Cause: clang 14 can't read four places that GCC 12 takes (construction of an aggregate in place, an optional of a nested struct with default members, a comparison of string and string_view by <=>), a const local that a return had to copy, and an implicit slice to the base's settings.

--- a/src/membership/etcd_source.cpp
+++ b/src/membership/etcd_source.cpp
@@ -11,7 +11,7 @@
       on_report_(std::move(on_report)),
       on_alive_(std::move(on_alive)),
       on_problem_(std::move(on_problem)),
-      link_(io, settings, seed, [this] {
+      link_(io, static_cast<const etcd::FollowerLinkSettings&>(settings), seed, [this] {
         etcd::FollowerLinkCallbacks callbacks;
         callbacks.on_snapshot_page = [this](const etcd::Follower::SnapshotPage& page) {
           Pass(feed_.Convert(page));
--- a/src/membership/ledger.cpp
+++ b/src/membership/ledger.cpp
@@ -88,7 +88,7 @@
 
 // Compares what the source had with a page, over the names from the page before up to its last.
 void Ledger::FindUnlisted(View& view, const Report& report) {
-  Listing& listing = *view.listing;
+  ListInPages& listing = *view.listing;
   if (listing.service != report.service) {
     listing.service = report.service;
     listing.compared_up_to.clear();
--- a/src/membership/ledger.h
+++ b/src/membership/ledger.h
@@ -111,6 +111,15 @@
   std::size_t max_members = kMaxMembers, max_tombstones = kMaxTombstones;
 };
 
+// A source's whole list that comes in pages, as far as it has come.
+struct ListInPages {
+  std::uint64_t epoch = 0, version = 0;
+  std::string service;
+  std::string compared_up_to;       // the last name of the pages so far
+  std::vector<MemberPtr> unlisted;  // that the source had, and the pages so far don't name
+  std::vector<Member> postponed;    // whose name another service had, which may yet turn out to be unlisted
+};
+
 class Ledger {
  public:
   explicit Ledger(Settings settings);
@@ -150,14 +159,6 @@
   const Member* Reported(std::size_t source, const std::string& name) const;
 
  private:
-  // A whole list that comes in pages.
-  struct Listing {
-    std::uint64_t epoch = 0, version = 0;
-    std::string service;
-    std::string compared_up_to;       // the last name of the pages so far
-    std::vector<MemberPtr> unlisted;  // that the source had, and the pages so far don't name
-    std::vector<Member> postponed;    // whose name another service had, which may yet turn out to be unlisted
-  };
   struct View {
     bool reported = false;
     std::uint64_t epoch = 0, version = 0;
@@ -168,7 +169,7 @@
     std::map<std::string_view, MemberPtr> members;
     std::size_t listed = 0;                               // of them without the tombstones
     std::deque<std::pair<Time, std::string>> tombstones;  // the oldest first
-    std::optional<Listing> listing;
+    std::optional<ListInPages> listing;
     std::size_t refused_joins = 0;
     std::string refusal;
     std::map<std::string, std::string> problems;
--- a/src/node/client.cpp
+++ b/src/node/client.cpp
@@ -80,7 +80,7 @@
 }
 
 std::shared_ptr<Listener::Session> Listener::Admit(tcp::socket socket) {
-  const auto session = std::make_shared<Session>(*this, std::move(socket));
+  auto session = std::make_shared<Session>(*this, std::move(socket));
   sessions_.push_back(session);
   session->Start(std::prev(sessions_.end()));
   return session;
--- a/src/relay/actions.h
+++ b/src/relay/actions.h
@@ -11,11 +11,12 @@
 
 namespace badgerbridge::relay {
 
-// Constructs the action in its place: GCC 12 at -O3 takes a temporary variant that is moved from for a use of
-// what was never set (-Wmaybe-uninitialized).
+// Sets the action in its place: GCC 12 at -O3 takes a temporary variant that is moved from for a use of what
+// was never set (-Wmaybe-uninitialized), and clang 14 can't construct an aggregate in place from its members.
 template <typename Action, typename... Arguments>
 void Append(Relay::Actions* actions, Arguments&&... arguments) {
-  actions->emplace_back(std::in_place_type<Action>, std::forward<Arguments>(arguments)...);
+  actions->emplace_back(std::in_place_type<Action>);
+  std::get<Action>(actions->back()) = Action{std::forward<Arguments>(arguments)...};
 }
 
 }  // namespace badgerbridge::relay
--- a/src/relay/state.cpp
+++ b/src/relay/state.cpp
@@ -48,7 +48,7 @@
 void ForEach(Bounds bounds, const Overlay& overlay, Each each) {
   auto key = bounds.begin;
   for (const auto& [name, old] : overlay) {
-    for (; key != bounds.end && (*key)->key() < name; ++key) {
+    for (; key != bounds.end && (*key)->key().compare(name) < 0; ++key) {
       if (!each(**key)) return;
     }
     if (key != bounds.end && (*key)->key() == name) ++key;
