Let bench/etcd silence the member that the proxy under load follows

Need: run at last on this tree, bench/etcd reported 22 late drains (worst 758 ms), all with one member silent and the next one lagging. Cause: in_use was the lowest member with any connection, the other proxy's too; endpoints are tried in an order of each proxy's own since reconnections are spread, so the two no longer end up at one member, and the proxy under load was at the one that lags. Ruled out: the follower's own way (a scratch test from a silent member past a lagging one: 365, 422 and 431 ms), the channel's pings (250 ms).

--- a/bench/etcd.cpp
+++ b/bench/etcd.cpp
@@ -139,10 +139,11 @@
         for (const auto& [name, text] : pairs) etcd.Put(name, text);
       }
     } else if (what == "in_use") {
+      // By the proxy under load, which watches kPrefix; the other proxy may be at another member.
       for (std::size_t i = 0; i < 3; ++i) {
-        if (etcd.connections(i) > 0) return std::to_string(i);
+        if (etcd.Watches(i, kPrefix)) return std::to_string(i);
       }
-      return "0";
+      return "none";
     } else if (what == "silence" || what == "speak") {
       in >> member;
       etcd.Silence(member, what == "silence");
@@ -267,7 +268,9 @@
                                      "down"};
   for (int round = 0; round < rounds; ++round) {
     const int fault = round % 6;
-    const std::string in_use = etcd.Say("in_use");
+    std::string in_use;
+    checks.Expect(site.Until([&] { return (in_use = etcd.Say("in_use")) != "none"; }),
+                  "the proxy follows no member");
     const std::string other = std::to_string((std::stoi(in_use) + 1) % 3);
     if (fault == 1 || fault == 4) etcd.Say("silence " + in_use);
     if (fault == 2 || fault == 5) etcd.Say("down " + in_use);
--- a/tests/standins/etcd.cpp
+++ b/tests/standins/etcd.cpp
@@ -179,6 +179,17 @@
   if (!lag) Publish();
 }
 
+bool Etcd::Watches(std::size_t member, const std::string& key) const {
+  for (const auto& connection : members_[member]->connections) {
+    for (const auto& [id, stream] : connection->streams) {
+      const auto& watches = stream->watches;
+      if (std::any_of(watches.begin(), watches.end(), [&](const Watch& watch) { return watch.key == key; }))
+        return true;
+    }
+  }
+  return false;
+}
+
 std::size_t Etcd::watches() const {
   std::size_t count = 0;
   for (const auto& member : members_) {
--- a/tests/standins/etcd.h
+++ b/tests/standins/etcd.h
@@ -77,6 +77,8 @@
   void ExpireTokens() { tokens_.clear(); }
 
   std::size_t watches() const;
+  // Whether a client of this member watches the range that begins with this key.
+  bool Watches(std::size_t member, const std::string& key) const;
   std::size_t connections(std::size_t member) const;
   std::size_t calls() const { return calls_; }
   // Of one method, "/package.Service/Method"; each message of a call that streams counts.
