An eviction that serves its request no longer counts as room for a client

Cause: src/proxy/session_list.cpp, SessionList::Evict, returned true once it had called a rule's action, and Listener::AwaitConnection then accepted one more. Session::RejectPartialRequest first reads what has arrived, and where that completes the request the session is served and stays. Each such "eviction" added a client beyond max_clients, which is what bounds the memory of clients.

Change: Evict tries further sessions until one is ending, and the listener accepts only while the number of active sessions is below max_clients. A session that was rejected counts until its answer is written; the accept loop is resumed then at once.

--- a/src/proxy/listener.cpp
+++ b/src/proxy/listener.cpp
@@ -54,9 +54,8 @@
 }
 
 void Listener::AwaitConnection() {
-  // At max_clients the next connection waits in the kernel's accept queue until another one closes.
-  if (sessions_.active() >= max_clients_ && !sessions_.Evict()) return AcceptAfter(kEvictionRetryPause);
-  if (sessions_.size() >= max_clients_ + kMaxLingering) sessions_.CloseOneLingering();
+  // At max_clients the next connection waits in the kernel's accept queue until another one ends.
+  if (!MakeRoom()) return AcceptAfter(kEvictionRetryPause);
   if (acceptor_.has_unadmitted()) return OnConnection();
   acceptor_.AsyncWait([this](beast::error_code error) {
     if (acceptor_.is_closed()) return FinishStopIfDone();
@@ -65,6 +64,14 @@
   });
 }
 
+// Whether another connection may be accepted. A rejected session counts until its answer has been written.
+bool Listener::MakeRoom() {
+  if (sessions_.active() >= max_clients_) sessions_.Evict();
+  if (sessions_.active() >= max_clients_) return false;
+  if (sessions_.size() >= max_clients_ + kMaxLingering) sessions_.CloseOneLingering();
+  return true;
+}
+
 void Listener::OnConnection() {
   if (acceptor_.AcceptOne() != AcceptResult::kFailed) return Accept();
   sessions_.Evict();
@@ -95,6 +102,12 @@
 void Listener::Remove(SessionList::Position position) noexcept {
   sessions_.Remove(position);
   if (acceptor_.is_closed()) return FinishStopIfDone();
+  ResumeAccept();
+}
+
+// Called when there may be room for another connection.
+void Listener::ResumeAccept() noexcept {
+  if (acceptor_.is_waiting() || acceptor_.is_closed()) return;
   try {
     asio::post(io_, [this] { Accept(); });
   } catch (const std::exception&) {
--- a/src/proxy/listener.h
+++ b/src/proxy/listener.h
@@ -73,10 +73,12 @@
   // Accept loop.
   void Accept() noexcept;
   void AwaitConnection();
+  bool MakeRoom();
   void OnConnection();
   void AcceptAfter(std::chrono::milliseconds wait) noexcept;
   void Admit(int descriptor);
   void Remove(SessionList::Position position) noexcept;
+  void ResumeAccept() noexcept;
 
   // Drain.
   void SweepIdleSessions();
--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -108,6 +108,11 @@
   return state_ == State::kAnswering && listener_.clock_.Now() - state_since_ >= kTypicalReadTime;
 }
 
+bool Session::IsEnding() const {
+  if (state_ == State::kAnswering) return !keep_alive_after_answer_;
+  return state_ == State::kLingering || state_ == State::kClosed;
+}
+
 bool Session::CanCloseWithoutLoss() const {
   return is_lingering() && net::UnreadBytes(socket_) == 0 && net::UnacknowledgedBytes(socket_) == 0;
 }
@@ -162,6 +167,7 @@
   linger_extensions_ = 0;
   beast::error_code ignored;
   socket_.shutdown(tcp::socket::shutdown_send, ignored);
+  listener_.ResumeAccept();
   ArmTimer(listener_.limits_.linger);
   AwaitInput();
 }
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -74,6 +74,9 @@
   bool IsSlowToRead() const;
   /// Whether no request is being received, served or answered.
   bool IsIdle() const;
+  /// Whether the connection ends without serving another request: it is closed, lingering, or writes its last
+  /// answer.
+  bool IsEnding() const;
   /// Whether the sending side is shut down and the session waits for its client to close.
   bool is_lingering() const { return state_ == State::kLingering; }
   /// Whether the session lingers, and closing it now would lose no data that the client has yet to receive.
--- a/src/proxy/session_list.cpp
+++ b/src/proxy/session_list.cpp
@@ -39,12 +39,14 @@
   return found == sessions_.end() ? nullptr : *found;
 }
 
+// An eviction can fail because input has arrived since the rule was checked; the session then serves a
+// request or has unread input, so the rule no longer applies to it.
 bool SessionList::Evict() {
   for (const EvictionRule& rule : kEvictionRules) {
-    const std::shared_ptr<Session> session = FindFirst(rule.applies);
-    if (!session) continue;
-    (session.get()->*rule.evict)();
-    return true;
+    while (const std::shared_ptr<Session> session = FindFirst(rule.applies)) {
+      (session.get()->*rule.evict)();
+      if (session->IsEnding()) return true;
+    }
   }
   return false;
 }
--- a/tests/proxy/session_race_test.cpp
+++ b/tests/proxy/session_race_test.cpp
@@ -6,6 +6,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -174,6 +175,44 @@
   EXPECT_GE(rejected, 1u);
 }
 
+// Guards against more clients than max_clients: an eviction that completed and served a request counted as
+// room made.
+TEST_F(SessionRaceTest, AnEvictionThatServesTheRequestAdmitsNoFurtherClient) {
+  StartNode(kScarceDescriptors);
+  hold_answers_ = true;
+  std::vector<std::shared_ptr<Wire>> slow;
+  for (std::size_t i = 0; i < kMaxClientsOfScarceDescriptors; ++i) {
+    slow.push_back(node_->Connect());
+    slow.back()->Send(Get("slow-" + std::to_string(i)).substr(0, 40));
+  }
+  ASSERT_TRUE(
+      RunUntilVirtual([&] { return node_->listener.connections() == kMaxClientsOfScarceDescriptors; }));
+  std::vector<std::shared_ptr<Wire>> next;
+  for (std::size_t i = 0; i < kMaxClientsOfScarceDescriptors; ++i) {
+    next.push_back(node_->Connect());
+    next.back()->Send(Get("next-" + std::to_string(i)));
+  }
+  clock_.Advance(kTypicalFirstRequestTime);
+  // Runs after the poll for events and before the handler of the timer that retries the eviction.
+  asio::post(io_, [&] {
+    for (std::size_t i = 0; i < slow.size(); ++i) slow[i]->Send(Get("slow-" + std::to_string(i)).substr(40));
+  });
+  std::size_t most_connections = 0;
+  EXPECT_TRUE(RunUntilVirtual([&] {
+    most_connections = std::max(most_connections, node_->listener.connections());
+    return node_->proxy.open_requests() >= slow.size();
+  }));
+  for (int i = 0; i < 100; ++i) {
+    clock_.Advance(milliseconds(1));
+    RunAllReady();
+    most_connections = std::max(most_connections, node_->listener.connections());
+  }
+  EXPECT_EQ(most_connections, kMaxClientsOfScarceDescriptors);
+  hold_answers_ = false;
+  for (const auto& wire : backend_->wires) wire->Send(Reply(200, "served"));
+  for (const auto& wire : slow) EXPECT_TRUE(RunUntilVirtual([&] { return IsAnswered(*wire); }));
+}
+
 // Shortly before the listener closes, no connection may be established that the close would reset: a SYN gets
 // no answer.
 TEST_F(SessionRaceTest, NoConnectionIsEstablishedRightBeforeTheListenerCloses) {
