Free the buffer of an answer once it has been written

Cause: src/proxy/answer_buffer.h, AnswerBuffer::Release: `text_ = {}` is the assignment of an empty initializer_list, which keeps the capacity.

Change: the string is swapped with an empty one.

--- a/src/proxy/answer_buffer.h
+++ b/src/proxy/answer_buffer.h
@@ -25,7 +25,7 @@
   /// Discards the unwritten part.
   void DropUnwritten() { unwritten_ = {}; }
   /// Frees the memory. Requires that nothing is unwritten.
-  void Release() { text_ = {}; }
+  void Release() { std::string().swap(text_); }  // an assignment could keep the capacity
 
  private:
   std::string text_;
--- a/tests/proxy/client_memory_test.cpp
+++ b/tests/proxy/client_memory_test.cpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "proxy/proxy_harness.h"
@@ -28,6 +29,8 @@
 // Of a client or an attempt without a request and an answer: its objects, timers and empty buffers.
 constexpr std::size_t kMaxBytesWithoutMessages = 12 << 10;
 
+std::array<char, 16384> discarded;  // what clients and backends read
+
 // A client that allocates nothing while it sends a text, and discards what it receives.
 class SilentClient {
  public:
@@ -42,7 +45,7 @@
     ErrorCode error;
     while (!rest_.empty() && !error) rest_.remove_prefix(socket_.write_some(asio::buffer(rest_), error));
     error = {};
-    while (reads && !error) received_ += socket_.read_some(asio::buffer(discarded_), error);
+    while (reads && !error) received_ += socket_.read_some(asio::buffer(discarded), error);
   }
   bool has_sent_all() const { return rest_.empty(); }
   std::size_t received_bytes() const { return received_; }
@@ -53,7 +56,6 @@
   tcp::socket socket_;
   std::string_view rest_;
   std::size_t received_ = 0;
-  std::array<char, 16384> discarded_;
 };
 
 class ClientMemoryTest : public ::testing::Test {
@@ -118,10 +120,36 @@
       : acceptor_(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {}
   std::string address() const { return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()); }
 
- private:
+ protected:
   tcp::acceptor acceptor_;  // the kernel accepts connections and data by itself
 };
 
+// A backend that allocates nothing while it responds to requests that arrive in one piece.
+class ServingBackend : public SilentBackend {
+ public:
+  ServingBackend(asio::io_context& io, std::string response)
+      : SilentBackend(io), io_(io), response_(std::move(response)) {
+    acceptor_.non_blocking(true);
+  }
+
+  // Accepts a connection, and responds to the requests that have arrived.
+  void Pump() {
+    ErrorCode error;
+    tcp::socket accepted(io_);
+    if (!acceptor_.accept(accepted, error)) connections_.push_back(std::move(accepted));
+    for (tcp::socket& connection : connections_) {
+      if (connection.available() == 0) continue;
+      connection.read_some(asio::buffer(discarded));
+      asio::write(connection, asio::buffer(response_));
+    }
+  }
+
+ private:
+  asio::io_context& io_;
+  std::string response_;
+  std::vector<tcp::socket> connections_;
+};
+
 // Guards against memory beyond the limit: a client's further requests were parsed while its first one was
 // served, so that it held more than the limit on clients allows for.
 TEST_F(ClientMemoryTest, AClientThatSendsManyLargeRequestsHoldsNoMoreThanItsShare) {
@@ -142,5 +170,22 @@
   EXPECT_GT(peak_bytes_, kClients * kBodyBytes) << "the bodies in flight were counted";
 }
 
+// Guards against memory that is never freed: an idle connection kept the buffer of its last answer.
+TEST_F(ClientMemoryTest, AnIdleClientHoldsNoMemoryOfItsLastAnswer) {
+  ServingBackend backend(io_, Reply(200, std::string(kBodyBytes, 'y')));
+  Start(backend.address());
+  std::vector<std::string> texts;
+  for (std::size_t i = 0; i < kClients; ++i) texts.push_back(Get("idle-" + std::to_string(i)));
+  SetBaseline();
+  for (const std::string& text : texts) Connect(text);
+  ASSERT_TRUE(RunUntil([&] {
+    backend.Pump();
+    return AllHaveReceived(kBodyBytes);
+  }));
+  RunReady(io_);
+  EXPECT_EQ(node_->listener.connections(), kClients);
+  EXPECT_LE(AllocatedSinceBaseline(), kClients * kMaxBytesWithoutMessages);
+}
+
 }  // namespace
 }  // namespace badgerbridge::proxy::testing
