Free the input of a client that lingers

A session that has been shut down counts as lingering, not as a client, so 16 more than the limit of clients may hold memory.

Cause: src/proxy/session.cpp, Session::BeginLinger, kept the parser with the body of an incomplete request, and the input buffer. Nothing is parsed after it.

Evidence: 8 clients that were rejected with 63 KiB of an incomplete body kept 602,096 bytes (73 KiB each) until they closed.

Change: BeginLinger clears the input and frees its memory.

Result: ClientMemoryTest.ARejectedClientHoldsNoMemoryOfItsRequest failed before with the figure above, where 98,304 bytes are allowed, and passes.

--- a/src/proxy/request_input.cpp
+++ b/src/proxy/request_input.cpp
@@ -33,6 +33,14 @@
   has_begun_ = false;
 }
 
+void RequestInput::Clear() {
+  buffer_.clear();
+  arrivals_ = {};
+  error_.reset();
+  overflowed_ = false;
+  Reset();
+}
+
 asio::mutable_buffer RequestInput::Prepare() {
   return buffer_.prepare(std::min(buffer_.max_size() - buffer_.size(), kMaxReadBytes));
 }
--- a/src/proxy/request_input.h
+++ b/src/proxy/request_input.h
@@ -29,6 +29,9 @@
   /// Prepares for the next request. Keeps the buffered bytes.
   void Reset();
 
+  /// Discards all input, also of an incomplete request, and frees its memory.
+  void Clear();
+
   /// Whether no further bytes fit.
   bool is_full() const { return buffer_.size() == buffer_.max_size(); }
   /// Number of bytes that were read but not parsed yet.
--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -168,6 +168,7 @@
   beast::error_code ignored;
   socket_.shutdown(tcp::socket::shutdown_send, ignored);
   listener_.ResumeAccept();
+  input_.Clear();
   ArmTimer(listener_.limits_.linger);
   AwaitInput();
 }
--- a/tests/proxy/client_memory_test.cpp
+++ b/tests/proxy/client_memory_test.cpp
@@ -187,5 +187,23 @@
   EXPECT_LE(AllocatedSinceBaseline(), kClients * kMaxBytesWithoutMessages);
 }
 
+// Guards against memory beyond the limit on clients: a rejected client no longer counts as one while it
+// lingers, and kept the input of its request.
+TEST_F(ClientMemoryTest, ARejectedClientHoldsNoMemoryOfItsRequest) {
+  const SilentBackend backend(io_);
+  Start(backend.address());
+  const std::string whole = Post("half", "certify", std::string(kBodyBytes, 'x'));
+  const std::string half = whole.substr(0, whole.size() - 1);
+  SetBaseline();
+  for (std::size_t i = 0; i < kClients; ++i) Connect(half);
+  ASSERT_TRUE(RunUntil([&] { return AllHaveSent(); }));
+  EXPECT_GT(AllocatedSinceBaseline(), kClients * kBodyBytes);
+  clock_.Advance(kRequestTimeout);
+  ASSERT_TRUE(RunUntil([&] { return AllHaveReceived(1); }));
+  RunReady(io_);
+  EXPECT_EQ(node_->listener.connections(), kClients) << "they linger";
+  EXPECT_LE(AllocatedSinceBaseline(), kClients * kMaxBytesWithoutMessages);
+}
+
 }  // namespace
 }  // namespace badgerbridge::proxy::testing
