Free a request on its backend connection once it has been written

Cause: src/proxy/backend_attempt.cpp, Connection::OnWritten, kept the message and its reference to the request until the attempt's end. After the last byte only a retry needs the body, and the table of requests holds it for that.

Evidence: 8 clients that sent 63 KiB and left while their backend hung left 408,064 bytes behind, of which the attempts out held all.

Change: the connection lets go of the request when the write has succeeded.

Result: ClientMemoryTest.AnAttemptOfADisconnectedClientHoldsNoMemoryOfItsRequest failed before with the figure above, where 98,304 bytes are allowed, and passes.

--- a/src/proxy/backend_attempt.cpp
+++ b/src/proxy/backend_attempt.cpp
@@ -115,6 +115,7 @@
   } else if (state_ == State::kWriting) {
     if (error) return End(Outcome::kConnectFailed);
     state_ = State::kAwaitingResponse;
+    ReleaseRequest();
     if (attempt_.begin_before < attempt_.deadline) SetTimer(attempt_.deadline);
   }
 }
@@ -190,10 +191,15 @@
 // Frees the memory of the last request and response, so that an idle connection holds none.
 void BackendPool::Connection::ReleaseAttempt() {
   reader_.Release();
+  ReleaseRequest();
+  attempt_.requester.reset();
+}
+
+// An attempt goes on when its client disconnects, and then only its connection would still hold the request.
+void BackendPool::Connection::ReleaseRequest() {
   message_.clear();
   message_.body() = {};
   attempt_.request.reset();
-  attempt_.requester.reset();
 }
 
 void BackendPool::Connection::OnAttemptTimeout() {
--- a/src/proxy/backend_connection.h
+++ b/src/proxy/backend_connection.h
@@ -131,6 +131,7 @@
   void OnAttemptTimeout();
   void Complete(AttemptResult result, bool is_reusable);
   void ReleaseAttempt();
+  void ReleaseRequest();
   void Abort(Outcome outcome);
   void End(Outcome outcome);
 
--- a/tests/proxy/client_memory_test.cpp
+++ b/tests/proxy/client_memory_test.cpp
@@ -205,5 +205,24 @@
   EXPECT_LE(AllocatedSinceBaseline(), kClients * kMaxBytesWithoutMessages);
 }
 
+// Guards against memory beyond the limit on clients: the attempt of a client that has gone goes on, and kept
+// the body of its request, which can't be sent again.
+TEST_F(ClientMemoryTest, AnAttemptOfADisconnectedClientHoldsNoMemoryOfItsRequest) {
+  const SilentBackend backend(io_);
+  Start(backend.address());
+  std::vector<std::string> texts;
+  for (std::size_t i = 0; i < kClients; ++i)
+    texts.push_back(Post("gone-" + std::to_string(i), "certify", std::string(kBodyBytes, 'x')));
+  SetBaseline();
+  for (const std::string& text : texts) Connect(text);
+  ASSERT_TRUE(RunUntil([&] { return AllHaveSent() && node_->proxy.open_requests() == kClients; }));
+  EXPECT_GT(AllocatedSinceBaseline(), kClients * kBodyBytes);
+  ASSERT_GT(node_->backends.open_connections(), 0u);
+  clients_.clear();
+  ASSERT_TRUE(RunUntil([&] { return node_->listener.connections() == 0; }));
+  EXPECT_GT(node_->backends.open_connections(), 0u) << "the attempts go on";
+  EXPECT_LE(AllocatedSinceBaseline(), kClients * kMaxBytesWithoutMessages);
+}
+
 }  // namespace
 }  // namespace badgerbridge::proxy::testing
