Keep the limit of clients while the listener closes

Cause: src/proxy/listener.cpp, Listener::CloseListener, admitted all connections in the kernel's accept queue, up to its 4,096, whatever max_clients says. In addition Listener::OnConnection relied on room that had been made before its wait.

Change: Listener::AcceptAll makes room for each connection, and where there is none the close waits as for missing descriptors, at most until twice the accept grace (1 s after the stop began). Connections that are still in the queue then are reset unread, so their clients send their requests elsewhere. OnConnection looks at the limit again.

--- a/src/proxy/connection_acceptor.cpp
+++ b/src/proxy/connection_acceptor.cpp
@@ -49,12 +49,6 @@
   return AcceptResult::kAccepted;
 }
 
-bool ConnectionAcceptor::AcceptAll() {
-  AcceptResult result = AcceptResult::kAccepted;
-  while (result == AcceptResult::kAccepted) result = AcceptOne();
-  return result == AcceptResult::kQueueEmpty;
-}
-
 void ConnectionAcceptor::StopNewHandshakes() { net::StopNewHandshakes(acceptor_); }
 
 void ConnectionAcceptor::Close() {
--- a/src/proxy/connection_acceptor.h
+++ b/src/proxy/connection_acceptor.h
@@ -52,9 +52,6 @@
 
   /// Accepts and admits one connection. One that could not be admitted before is tried first.
   AcceptResult AcceptOne();
-  /// Accepts all connections in the kernel's accept queue, because their clients consider them established.
-  /// False if one is waiting that can't be accepted or admitted now.
-  bool AcceptAll();
   /// Whether a connection is kept that could not be admitted yet.
   bool has_unadmitted() const { return unadmitted_ != kNoDescriptor; }
 
--- a/src/proxy/listener.cpp
+++ b/src/proxy/listener.cpp
@@ -73,6 +73,8 @@
 }
 
 void Listener::OnConnection() {
+  // While the wait was pending, AcceptAll() may have used the room.
+  if (sessions_.active() >= max_clients_) return Accept();
   if (acceptor_.AcceptOne() != AcceptResult::kFailed) return Accept();
   sessions_.Evict();
   AcceptAfter(kAcceptRetryPause);
@@ -158,17 +160,28 @@
 }
 
 void Listener::CloseListener() {
-  if (!acceptor_.AcceptAll() && stop_schedule_.MayRetryAccept(clock_.Now())) {
-    CloseListenerAfter(kAcceptRetryPause);
-    sessions_.Evict();
-    return;
-  }
+  if (!AcceptAll() && stop_schedule_.MayRetryAccept(clock_.Now()))
+    return CloseListenerAfter(kAcceptRetryPause);
   accept_pause_.Disarm();
   acceptor_.Close();
   for (const auto& session : sessions_.Snapshot()) session->BeginDrain();
   FinishStopIfDone();
 }
 
+// Empties the kernel's accept queue, because the clients consider their connections established. False if one
+// may be waiting that can't be accepted now.
+bool Listener::AcceptAll() {
+  while (MakeRoom()) {
+    const AcceptResult result = acceptor_.AcceptOne();
+    if (result == AcceptResult::kQueueEmpty) return true;
+    if (result == AcceptResult::kFailed) {
+      sessions_.Evict();
+      return false;
+    }
+  }
+  return false;
+}
+
 void Listener::FinishStopIfDone() noexcept {
   if (!sessions_.empty() || acceptor_.is_waiting() || !stopped_) return;
   const std::function<void()> stopped = std::exchange(stopped_, nullptr);
--- a/src/proxy/listener.h
+++ b/src/proxy/listener.h
@@ -60,6 +60,8 @@
 
   /// Open connections, including lingering ones, which wait for their client to close.
   std::size_t connections() const { return sessions_.size(); }
+  /// Open connections without lingering ones, at most Config::max_clients.
+  std::size_t active_connections() const { return sessions_.active(); }
   /// Requests rejected before they entered the request table.
   std::uint64_t rejected() const { return rejected_; }
   /// Number of recent request ids kept to reject duplicates.
@@ -87,6 +89,7 @@
   void StopHandshakes();
   void CloseListenerAfter(std::chrono::milliseconds wait);
   void CloseListener();
+  bool AcceptAll();
   void FinishStopIfDone() noexcept;
   bool IsPastAnswerDeadline() const;
 
--- a/tests/proxy/session_race_test.cpp
+++ b/tests/proxy/session_race_test.cpp
@@ -213,6 +213,36 @@
   for (const auto& wire : slow) EXPECT_TRUE(RunUntilVirtual([&] { return IsAnswered(*wire); }));
 }
 
+// Guards against more clients than max_clients: when the listener closed, all connections in the accept queue
+// were admitted, whatever their number.
+TEST_F(SessionRaceTest, AtTheStopNoMoreClientsAreAdmittedThanTheLimitAllows) {
+  constexpr milliseconds kBeforeTheClose{50};
+  StartNode(kScarceDescriptors);
+  bool stopped = false;
+  node_->listener.Stop([&] { stopped = true; });
+  clock_.Advance(kAcceptGrace - kBeforeTheClose);
+  std::vector<std::shared_ptr<Wire>> clients;
+  for (std::size_t i = 0; i < 2 * kMaxClientsOfScarceDescriptors; ++i) {
+    clients.push_back(node_->Connect());
+    clients.back()->Send(Get("queued-" + std::to_string(i)).substr(0, 40));
+  }
+  std::size_t most_clients = 0;
+  for (milliseconds waited(0); waited < 2 * kBeforeTheClose; waited += milliseconds(1)) {
+    clock_.Advance(milliseconds(1));
+    RunAllReady();
+    most_clients = std::max(most_clients, node_->listener.active_connections());
+  }
+  EXPECT_EQ(most_clients, kMaxClientsOfScarceDescriptors);
+  for (std::size_t i = 0; i < clients.size(); ++i)
+    clients[i]->Send(Get("queued-" + std::to_string(i)).substr(40));
+  for (const auto& client : clients) {
+    EXPECT_TRUE(RunUntilVirtual([&] { return client->closed; }));
+    EXPECT_TRUE(IsServed(*client)) << client->in << client->end.message();
+    client->Close();
+  }
+  EXPECT_TRUE(RunUntilVirtual([&] { return stopped; }));
+}
+
 // Shortly before the listener closes, no connection may be established that the close would reset: a SYN gets
 // no answer.
 TEST_F(SessionRaceTest, NoConnectionIsEstablishedRightBeforeTheListenerCloses) {
