Shrink a chunked request body to its size while it is served

Cause: src/proxy/session_request.cpp, Session::BeginServing, moved the body as the parser had grown it. Without a length it grows by doubling, to less than twice its size.

Evidence: 8 clients with chunked bodies of 63 KiB held 691,739 bytes while they were served (84 KiB each; the growth depends on the chunks).

Change: the body is shrunk when its request is accepted; with a length its capacity is exact and nothing is copied.

Result: ClientMemoryTest.AChunkedBodyHoldsNoMoreThanItsSize failed before with the figure above, where 614,400 bytes are allowed, and passes.

--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -8,7 +8,7 @@
 //   kAwaitingFirst, kIdle --first bytes--> kReceiving
 //   kReceiving --complete, valid--> kServing --answer--> kAnswering
 //   kReceiving --rejected, timeout, eviction, GET /ready--> kAnswering
-//   kAnswering --written, next request has begun--> kReceiving
+//   kAnswering --written, further input is buffered--> kReceiving
 //   kAnswering --written, connection kept--> kIdle
 //   kAnswering --written, last answer--> kLingering
 //   kAwaitingFirst --timeout, eviction--> kLingering
--- a/src/proxy/session_request.cpp
+++ b/src/proxy/session_request.cpp
@@ -59,6 +59,7 @@
   forwarded->method = request.method();
   forwarded->target = std::string(request.target());
   forwarded->body = std::move(request.body());
+  forwarded->body.shrink_to_fit();  // the capacity of a chunked body may be up to twice its size
   forwarded->correlation_id = valid.correlation_id;
   forwarded->idempotency_key = valid.idempotency_key;
   forwarded->service_class = std::move(valid.service_class);
--- a/tests/proxy/client_memory_test.cpp
+++ b/tests/proxy/client_memory_test.cpp
@@ -224,5 +224,27 @@
   EXPECT_LE(AllocatedSinceBaseline(), kClients * kMaxBytesWithoutMessages);
 }
 
+// Guards against memory beyond a client's share: a body without a known length grows by doubling, and kept
+// twice its size while its request was served.
+TEST_F(ClientMemoryTest, AChunkedBodyHoldsNoMoreThanItsSize) {
+  constexpr std::size_t kChunkBytes = 5000;  // the body does not fill a power of two of them
+  const SilentBackend backend(io_);
+  Start(backend.address());
+  std::string chunks;
+  for (std::size_t sent = 0; sent < kBodyBytes; sent += kChunkBytes)
+    chunks += Chunk(std::string(std::min(kChunkBytes, kBodyBytes - sent), 'x'));
+  std::vector<std::string> texts;
+  for (std::size_t i = 0; i < kClients; ++i) {
+    std::string text = Post("chunked-" + std::to_string(i), "certify", "");
+    const std::string length = "Content-Length: 0";
+    text.replace(text.find(length), length.size(), "Transfer-Encoding: chunked");
+    texts.push_back(text + chunks + "0\r\n\r\n");
+  }
+  SetBaseline();
+  for (const std::string& text : texts) Connect(text);
+  ASSERT_TRUE(RunUntil([&] { return AllHaveSent() && node_->proxy.open_requests() == kClients; }));
+  EXPECT_LE(AllocatedSinceBaseline(), kClients * (kBodyBytes + kMaxBytesWithoutMessages));
+}
+
 }  // namespace
 }  // namespace badgerbridge::proxy::testing
