Resume the accept loop after every session that ends

Change: the post is unconditional as it was before, also for a session that begins to linger. SessionList::Evict returns nothing, since the listener looks at the number of clients.

--- a/src/proxy/listener.cpp
+++ b/src/proxy/listener.cpp
@@ -109,7 +109,6 @@
 
 // Called when there may be room for another connection.
 void Listener::ResumeAccept() noexcept {
-  if (acceptor_.is_waiting() || acceptor_.is_closed()) return;
   try {
     asio::post(io_, [this] { Accept(); });
   } catch (const std::exception&) {
--- a/src/proxy/session_list.cpp
+++ b/src/proxy/session_list.cpp
@@ -41,14 +41,13 @@
 
 // An eviction can fail because input has arrived since the rule was checked; the session then serves a
 // request or has unread input, so the rule no longer applies to it.
-bool SessionList::Evict() {
+void SessionList::Evict() {
   for (const EvictionRule& rule : kEvictionRules) {
     while (const std::shared_ptr<Session> session = FindFirst(rule.applies)) {
       (session.get()->*rule.evict)();
-      if (session->IsEnding()) return true;
+      if (session->IsEnding()) return;
     }
   }
-  return false;
 }
 
 void SessionList::CloseOneLingering() {
--- a/src/proxy/session_list.h
+++ b/src/proxy/session_list.h
@@ -40,12 +40,12 @@
   /// Counts the close of a lingering session.
   void RemoveLingering() { --lingering_; }
 
-  /// Evicts one session to make room for another. An idle session is shut down. A session with an incomplete
-  /// request is rejected; if the rest has arrived meanwhile it is served instead, and another session is
-  /// evicted. A session whose client doesn't read its answer is closed immediately. False if no session can
-  /// be evicted. A rejected session stays active until its answer has been written, and the descriptor of a
-  /// session that was shut down becomes free when the client closes its side or the linger time expires.
-  bool Evict();
+  /// Evicts one session, if one can be evicted, to make room for another. An idle session is shut down. A
+  /// session with an incomplete request is rejected; if the rest has arrived meanwhile it is served instead,
+  /// and another session is evicted. A session whose client doesn't read its answer is closed immediately. A
+  /// rejected session stays active until its answer has been written, and the descriptor of a session that
+  /// was shut down becomes free when the client closes its side or the linger time expires.
+  void Evict();
   /// Closes one lingering session, preferably one whose client has received everything.
   void CloseOneLingering();
 
