--- a/src/proxy/listener.cpp
+++ b/src/proxy/listener.cpp
@@ -54,9 +54,8 @@
 }
 
 void Listener::AwaitConnection() {
-  // At max_clients the next connection waits in the kernel's accept queue until another one closes.
-  if (sessions_.active() >= max_clients_ && !sessions_.Evict()) return AcceptAfter(kEvictionRetryPause);
-  if (sessions_.size() >= max_clients_ + kMaxLingering) sessions_.CloseOneLingering();
+  // At max_clients the next connection waits in the kernel's accept queue until another one ends.
+  if (!MakeRoom()) return AcceptAfter(kEvictionRetryPause);
   if (acceptor_.has_unadmitted()) return OnConnection();
   acceptor_.AsyncWait([this](beast::error_code error) {
     if (acceptor_.is_closed()) return FinishStopIfDone();
@@ -65,7 +64,17 @@
   });
 }
 
+// Whether another connection may be accepted. A rejected session counts until its answer has been written.
+bool Listener::MakeRoom() {
+  if (sessions_.active() >= max_clients_) sessions_.Evict();
+  if (sessions_.active() >= max_clients_) return false;
+  if (sessions_.size() >= max_clients_ + kMaxLingering) sessions_.CloseOneLingering();
+  return true;
+}
+
 void Listener::OnConnection() {
+  // While the wait was pending, AcceptAll() may have used the room.
+  if (sessions_.active() >= max_clients_) return Accept();
   if (acceptor_.AcceptOne() != AcceptResult::kFailed) return Accept();
   sessions_.Evict();
   AcceptAfter(kAcceptRetryPause);
@@ -95,6 +104,12 @@
 void Listener::Remove(SessionList::Position position) noexcept {
   sessions_.Remove(position);
   if (acceptor_.is_closed()) return FinishStopIfDone();
+  ResumeAccept();
+}
+
+// Called when there may be room for another connection.
+void Listener::ResumeAccept() noexcept {
+  if (acceptor_.is_waiting() || acceptor_.is_closed()) return;
   try {
     asio::post(io_, [this] { Accept(); });
   } catch (const std::exception&) {
@@ -145,17 +160,28 @@
 }
 
 void Listener::CloseListener() {
-  if (!acceptor_.AcceptAll() && stop_schedule_.MayRetryAccept(clock_.Now())) {
-    CloseListenerAfter(kAcceptRetryPause);
-    sessions_.Evict();
-    return;
-  }
+  if (!AcceptAll() && stop_schedule_.MayRetryAccept(clock_.Now()))
+    return CloseListenerAfter(kAcceptRetryPause);
   accept_pause_.Disarm();
   acceptor_.Close();
   for (const auto& session : sessions_.Snapshot()) session->BeginDrain();
   FinishStopIfDone();
 }
 
+// Empties the kernel's accept queue, because the clients consider their connections established. False if one
+// may be waiting that can't be accepted now.
+bool Listener::AcceptAll() {
+  while (MakeRoom()) {
+    const AcceptResult result = acceptor_.AcceptOne();
+    if (result == AcceptResult::kQueueEmpty) return true;
+    if (result == AcceptResult::kFailed) {
+      sessions_.Evict();
+      return false;
+    }
+  }
+  return false;
+}
+
 void Listener::FinishStopIfDone() noexcept {
   if (!sessions_.empty() || acceptor_.is_waiting() || !stopped_) return;
   const std::function<void()> stopped = std::exchange(stopped_, nullptr);
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -8,7 +8,7 @@
 //   kAwaitingFirst, kIdle --first bytes--> kReceiving
 //   kReceiving --complete, valid--> kServing --answer--> kAnswering
 //   kReceiving --rejected, timeout, eviction, GET /ready--> kAnswering
-//   kAnswering --written, next request has begun--> kReceiving
+//   kAnswering --written, further input is buffered--> kReceiving
 //   kAnswering --written, connection kept--> kIdle
 //   kAnswering --written, last answer--> kLingering
 //   kAwaitingFirst --timeout, eviction--> kLingering
@@ -74,6 +74,9 @@
   bool IsSlowToRead() const;
   /// Whether no request is being received, served or answered.
   bool IsIdle() const;
+  /// Whether the connection ends without serving another request: it is closed, lingering, or writes its last
+  /// answer.
+  bool IsEnding() const;
   /// Whether the sending side is shut down and the session waits for its client to close.
   bool is_lingering() const { return state_ == State::kLingering; }
   /// Whether the session lingers, and closing it now would lose no data that the client has yet to receive.
--- a/src/proxy/session_request.cpp
+++ b/src/proxy/session_request.cpp
@@ -28,8 +28,6 @@
     std::cerr << "failed to accept a client request; answering it with 500: " << error.what() << '\n';
     if (IsBeforeServing() || state_ == State::kServing) Reject(RequestError::kInternal);
   }
-  // Bytes of the next request may be buffered; it begins once this one is in the table or answered.
-  if (client_keeps_alive_ && state_ != State::kClosed) ParseInput();
 }
 
 RequestResult<void> Session::Serve(ClientRequest& request, TimePoint began_at) {
@@ -61,6 +59,7 @@
   forwarded->method = request.method();
   forwarded->target = std::string(request.target());
   forwarded->body = std::move(request.body());
+  forwarded->body.shrink_to_fit();  // the capacity of a chunked body may be up to twice its size
   forwarded->correlation_id = valid.correlation_id;
   forwarded->idempotency_key = valid.idempotency_key;
   forwarded->service_class = std::move(valid.service_class);
