Name the processes that were not run in lines on violations of multi-process runs

Their lines did not tell a late proxy from a late link proxy, client or backend, though each of the test's processes measures how late its event loop is.

Change: a lag carries the name of its process; a line on a violation ends with the three processes that were not run for longest within its period. A drain's line tells disruptions as the others do. Pauses of a period are one class in place of a lambda and a function.

--- a/tests/multiprocess/history.h
+++ b/tests/multiprocess/history.h
@@ -15,6 +15,9 @@
 
 namespace badgerbridge::multiprocess {
 
+/// The name of the link proxy's process.
+constexpr const char* kLinkProxyProcess = "wire";
+
 /// How a request ended, as its client saw it.
 enum class RequestOutcome {
   kServed,     ///< Answered with 200.
@@ -93,8 +96,9 @@
 
 /// A period in which the system did not run one of the test's own processes.
 struct EventLoopLag {
-  double from_ms = 0;   ///< When its event loop should have run.
-  double until_ms = 0;  ///< When it did.
+  double from_ms = 0;        ///< When its event loop should have run.
+  double until_ms = 0;       ///< When it did.
+  std::string process = {};  ///< Its name.
 };
 
 /// The start of a backend as a new process, in slow start.
--- a/tests/multiprocess/history_index.cpp
+++ b/tests/multiprocess/history_index.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <utility>
 
 namespace badgerbridge::multiprocess {
 
@@ -10,6 +11,7 @@
 
 constexpr double kDescribedMarginMs =
     500;  // before and after a period, of the disruptions that are described
+constexpr std::size_t kMaxDescribedLags = 3;
 
 std::string Describe(DisruptionKind kind) {
   switch (kind) {
@@ -22,18 +24,38 @@
   }
 }
 
-// How much of the time from `from_ms` to `until_ms` these periods cover; they may overlap.
-double CoveredTime(std::vector<EventLoopLag> pauses, double from_ms) {
-  std::sort(pauses.begin(), pauses.end(),
-            [](const EventLoopLag& left, const EventLoopLag& right) { return left.from_ms < right.from_ms; });
-  double covered = 0;
-  double covered_until = from_ms;
-  for (const EventLoopLag& pause : pauses) {
-    covered += std::max(0.0, pause.until_ms - std::max(pause.from_ms, covered_until));
-    covered_until = std::max(covered_until, pause.until_ms);
+// The pauses within a period; they may overlap.
+class Pauses {
+ public:
+  Pauses(double from_ms, double until_ms) : from_ms_(from_ms), until_ms_(until_ms) {}
+
+  // Adds what lies within the period.
+  void Add(double from_ms, double until_ms) {
+    if (from_ms < until_ms_ && from_ms_ < until_ms)
+      pauses_.emplace_back(std::max(from_ms_, from_ms), std::min(until_ms_, until_ms));
+  }
+
+  // How much of the period they cover.
+  double CoveredTime() const {
+    std::vector<std::pair<double, double>> pauses = pauses_;
+    std::sort(pauses.begin(), pauses.end());
+    double covered_ms = 0;
+    double covered_until_ms = from_ms_;
+    for (const auto& [from_ms, until_ms] : pauses) {
+      covered_ms += std::max(0.0, until_ms - std::max(from_ms, covered_until_ms));
+      covered_until_ms = std::max(covered_until_ms, until_ms);
+    }
+    return covered_ms;
   }
-  return covered;
-}
+
+  // The rest of the period.
+  double RunningTime() const { return until_ms_ - from_ms_ - CoveredTime(); }
+
+ private:
+  double from_ms_;
+  double until_ms_;
+  std::vector<std::pair<double, double>> pauses_;
+};
 
 }  // namespace
 
@@ -61,16 +83,36 @@
 }
 
 double HistoryIndex::RunningTime(double from_ms, double until_ms, const std::string& proxy) const {
-  std::vector<EventLoopLag> pauses;
-  const auto add_pause = [&](double pause_from, double pause_until) {
-    if (pause_from < until_ms && from_ms < pause_until)
-      pauses.push_back({std::max(from_ms, pause_from), std::min(until_ms, pause_until)});
-  };
-  for (const EventLoopLag& lag : history_.lags) add_pause(lag.from_ms, lag.until_ms);
+  Pauses pauses(from_ms, until_ms);
+  for (const EventLoopLag& lag : history_.lags) pauses.Add(lag.from_ms, lag.until_ms);
   for (const Disruption& disruption : DisruptionsOf(proxy)) {
-    if (disruption.kind == DisruptionKind::kStopped) add_pause(disruption.from_ms, disruption.until_ms);
+    if (disruption.kind == DisruptionKind::kStopped) pauses.Add(disruption.from_ms, disruption.until_ms);
+  }
+  return pauses.RunningTime();
+}
+
+double HistoryIndex::RunningTimeOf(const std::vector<std::string>& processes, double from_ms,
+                                   double until_ms) const {
+  Pauses pauses(from_ms, until_ms);
+  for (const EventLoopLag& lag : history_.lags) {
+    if (std::find(processes.begin(), processes.end(), lag.process) != processes.end())
+      pauses.Add(lag.from_ms, lag.until_ms);
   }
-  return until_ms - from_ms - CoveredTime(std::move(pauses), from_ms);
+  return pauses.RunningTime();
+}
+
+std::string HistoryIndex::DescribeLags(double from_ms, double until_ms) const {
+  std::map<std::string, Pauses> pauses_by_process;
+  for (const EventLoopLag& lag : history_.lags)
+    pauses_by_process.try_emplace(lag.process, from_ms, until_ms)
+        .first->second.Add(lag.from_ms, lag.until_ms);
+  std::vector<std::pair<double, std::string>> lags;
+  for (const auto& [process, pauses] : pauses_by_process) lags.emplace_back(pauses.CoveredTime(), process);
+  std::sort(lags.rbegin(), lags.rend());
+  std::string text;
+  for (std::size_t i = 0; i < std::min(lags.size(), kMaxDescribedLags) && lags[i].first > 0; ++i)
+    text += "; " + lags[i].second + " was not run for " + FormatMs(lags[i].first) + " ms of it";
+  return text;
 }
 
 std::string HistoryIndex::DescribeDisruptions(const std::string& proxy, double from_ms,
@@ -83,7 +125,7 @@
     text += (text.empty() ? "; " : ", ") + Describe(disruption.kind) +
             FormatMs(disruption.from_ms - from_ms) + " to " + FormatMs(disruption.until_ms - from_ms);
   }
-  return text;
+  return text + DescribeLags(from_ms, until_ms);
 }
 
 }  // namespace badgerbridge::multiprocess
--- a/tests/multiprocess/history_index.h
+++ b/tests/multiprocess/history_index.h
@@ -37,10 +37,16 @@
   /// named, the proxy was not stopped.
   double RunningTime(double from_ms, double until_ms, const std::string& proxy = {}) const;
 
-  /// For people: the proxy's disruptions near this period, in ms after its beginning; empty if none.
+  /// Of the time from `from_ms` to `until_ms`, the part in which all of these processes of the test ran.
+  double RunningTimeOf(const std::vector<std::string>& processes, double from_ms, double until_ms) const;
+
+  /// For people: the proxy's disruptions near this period, in ms after its beginning, and which of the
+  /// test's own processes were not run for longest within it; empty if neither.
   std::string DescribeDisruptions(const std::string& proxy, double from_ms, double until_ms) const;
 
  private:
+  std::string DescribeLags(double from_ms, double until_ms) const;
+
   const History& history_;
   std::map<std::string, std::vector<Disruption>> disruptions_by_proxy_;
   std::unordered_map<std::string, const RequestRecord*> requests_by_id_;
--- a/tests/multiprocess/links.cpp
+++ b/tests/multiprocess/links.cpp
@@ -13,7 +13,7 @@
 
 Links::Links(RunContext& context)
     : context_(context),
-      process_(context, "wire", "wire"),
+      process_(context, "wire", kLinkProxyProcess),
       is_cut_in_(static_cast<std::size_t>(context.model.zones)),
       is_cut_out_(static_cast<std::size_t>(context.model.zones)),
       is_etcd_cut_(static_cast<std::size_t>(context.model.zones)) {
--- a/tests/multiprocess/role_process.cpp
+++ b/tests/multiprocess/role_process.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "multiprocess/role_process.h"
 
+#include <utility>
+
 namespace badgerbridge::multiprocess {
 
 namespace {
@@ -32,7 +34,10 @@
   Append(history.close_races, records.close_races);
   Append(history.attempts, records.attempts);
   Append(history.notifications, records.notifications);
-  Append(history.lags, records.lags);
+  for (EventLoopLag lag : records.lags) {
+    lag.process = name_;
+    history.lags.push_back(std::move(lag));
+  }
 }
 
 void RoleProcess::AddEnded(const Ended& ended) {
--- a/tests/multiprocess/verdict_backends.cpp
+++ b/tests/multiprocess/verdict_backends.cpp
@@ -140,7 +140,8 @@
     ++context.verdict.sends_after_drain;
     context.AddViolation(attempt.id + " came to " + attempt.backend + " " +
                          std::to_string(static_cast<int>(received_ms - drain->sent_at_ms)) + " ms after " +
-                         request->proxy + " was notified that it takes no more");
+                         request->proxy + " was notified that it takes no more" +
+                         context.index.DescribeDisruptions(request->proxy, drain->sent_at_ms, received_ms));
   }
 }
 
