Hold an attempt of a request's first connection to when it was written there

Cause: a paced client writes a request again, under the same id, where the close of its connection crossed it (its proxy was killed), and its record kept the time of the second writing alone. An attempt that the killed proxy had sent of the first one was then held to the second: the time in which the link proxy was not run before that did not count, and the deadline looked too long.

Change: the record has both times; an attempt that came before the second writing, or carries more time than its client had left by then, is held to the first. The bound of 150 ms stays, and so does what counts as lag.

Measured: VerdictTest.ADeadlineOfAFirstConnectionIsHeldToWhenItWasWrittenThere finds 1 excess deadline of 0 with the second time in place of the first, at both moments; an attempt of the second writing is found as before.

--- a/tests/multiprocess/clients_role.cpp
+++ b/tests/multiprocess/clients_role.cpp
@@ -87,6 +87,7 @@
     request.request_class = record.request_class;
     if (record.proxy < proxies_.size()) request.proxy = proxies_[record.proxy];
     request.started_at_ms = ToMs(record.began);
+    request.first_sent_at_ms = ToMs(record.first_sent);
     request.sent_at_ms = ToMs(record.sent);
     request.ended_at_ms = ToMs(record.ended);
     request.outcome = OutcomeOf(record.end);
--- a/tests/multiprocess/history.h
+++ b/tests/multiprocess/history.h
@@ -30,10 +30,13 @@
 
 /// What a client recorded about one request.
 struct RequestRecord {
-  std::string id;                                    ///< Its correlation id; that of a retry has a "." in it.
-  std::size_t request_class = 0;                     ///< Index in VerdictRules::classes.
-  std::string proxy;                                 ///< Empty: no proxy was ready.
-  double started_at_ms = 0;                          ///< When the client's first attempt began.
+  std::string id;                 ///< Its correlation id; that of a retry has a "." in it.
+  std::size_t request_class = 0;  ///< Index in VerdictRules::classes.
+  std::string proxy;              ///< Empty: no proxy was ready.
+  double started_at_ms = 0;       ///< When the client's first attempt began.
+  /// When its last byte was written for the first time, if that was before `sent_at_ms`: a close crossed it,
+  /// and it was written again on another connection.
+  std::optional<double> first_sent_at_ms;
   double sent_at_ms = 0;                             ///< When its last byte was written.
   double ended_at_ms = 0;                            ///< When it was over.
   RequestOutcome outcome = RequestOutcome::kServed;  ///< How it ended.
--- a/tests/multiprocess/message_dispatcher_test.cpp
+++ b/tests/multiprocess/message_dispatcher_test.cpp
@@ -38,6 +38,7 @@
   request.sent_at_ms = 1.0 / 3;
   request.outcome = RequestOutcome::kCancelled;
   request.closed_at_ms = 12.5;
+  request.first_sent_at_ms = 0.25;
   const Records received = EncodeAndDecode({{request}, {}, {}, {}, {}});
   ASSERT_EQ(received.requests.size(), 1u);
   EXPECT_EQ(received.requests[0].id, request.id);
@@ -45,6 +46,7 @@
   EXPECT_DOUBLE_EQ(received.requests[0].sent_at_ms, request.sent_at_ms);
   EXPECT_EQ(received.requests[0].outcome, RequestOutcome::kCancelled);
   EXPECT_EQ(received.requests[0].closed_at_ms, 12.5);
+  EXPECT_EQ(received.requests[0].first_sent_at_ms, 0.25);
   EXPECT_EQ(received.requests[0].deadline_ms, std::nullopt);
 }
 
--- a/tests/multiprocess/messages.h
+++ b/tests/multiprocess/messages.h
@@ -19,9 +19,9 @@
 // Records of the history.
 BOOST_DESCRIBE_ENUM(RequestOutcome, kServed, kRejected, kFailed, kLost, kUnsent, kCancelled)
 BOOST_DESCRIBE_STRUCT(RequestRecord, (),
-                      (id, request_class, proxy, started_at_ms, sent_at_ms, ended_at_ms, outcome,
-                       has_wrong_response, deadline_ms, closed_at_ms, closed_by_peer, previous_response_at_ms,
-                       unread_bytes, is_direct))
+                      (id, request_class, proxy, started_at_ms, first_sent_at_ms, sent_at_ms, ended_at_ms,
+                       outcome, has_wrong_response, deadline_ms, closed_at_ms, closed_by_peer,
+                       previous_response_at_ms, unread_bytes, is_direct))
 BOOST_DESCRIBE_STRUCT(CloseRaceRecord, (),
                       (id, proxy, sent_at_ms, close_seen_at_ms, previous_response_at_ms, is_unread))
 BOOST_DESCRIBE_STRUCT(AttemptRecord, (),
--- a/tests/multiprocess/verdict_test.cpp
+++ b/tests/multiprocess/verdict_test.cpp
@@ -190,6 +190,42 @@
   EXPECT_EQ(run.Check().excess_deadlines, 1u) << "simultaneous lags of two processes count once";
 }
 
+// A client writes a request again where the close of its connection crossed it. What became of the first
+// writing is held to the time of that.
+TEST(VerdictTest, ADeadlineOfAFirstConnectionIsHeldToWhenItWasWrittenThere) {
+  TestRun run;
+  RequestRecord& request = run.MakeDirect(RequestOutcome::kServed, 1390);
+  request.first_sent_at_ms = 1000;
+  request.sent_at_ms = 1250;  // with 150 to go
+  AttemptRecord& attempt = run.history.attempts[2];
+  attempt.time_left_ms = 390;
+  for (const double received_at_ms : {1240, 1260}) {
+    attempt.received_at_ms = received_at_ms;
+    run.history.lags.clear();
+    EXPECT_EQ(run.Check().excess_deadlines, 1u) << "nothing held it up";
+    run.history.lags = {{1005, 1105, kLinkProxyProcess}};
+    EXPECT_EQ(run.Check().excess_deadlines, 0u) << "the link proxy was not run meanwhile";
+  }
+  attempt.received_at_ms = 1401;
+  attempt.time_left_ms = 150;  // of the second
+  EXPECT_EQ(run.Check().excess_deadlines, 1u) << "the link proxy ran since the second was written";
+}
+
+TEST(VerdictTest, ALineOnAViolationTellsWhichProcessesWereNotRun) {
+  TestRun run;
+  run.MakeDirect(RequestOutcome::kServed, 1390);
+  run.history.attempts[2].received_at_ms = 1240;
+  run.history.attempts[2].time_left_ms = 390;
+  run.history.lags = {
+      {1230, 1250, kLinkProxyProcess}, {900, 1010, "z1"}, {1005, 1015, "z1"}, {1241, 1300, "z2"}};
+  const Verdict verdict = run.Check();
+  ASSERT_EQ(verdict.violations.size(), 1u);
+  const std::string expected_end = "; z1 was not run for 15.0 ms of it; wire was not run for 10.0 ms of it";
+  const std::string& line = verdict.violations[0];
+  ASSERT_GT(line.size(), expected_end.size());
+  EXPECT_EQ(line.substr(line.size() - expected_end.size()), expected_end);
+}
+
 // The deadline was right when the stop began, and was sent when it ended: no proxy can rule that out. Only an
 // attempt that fits the stop is excused.
 TEST(VerdictTest, AProxyMayBeStoppedWhileSendingADeadline) {
--- a/tests/multiprocess/verdict_timing.cpp
+++ b/tests/multiprocess/verdict_timing.cpp
@@ -60,12 +60,21 @@
       context.index.DescribeDisruptions(request.proxy, closed_ms, attempt.received_at_ms));
 }
 
+// When the last byte of the request was written to the connection that this attempt came of. The first one,
+// if the attempt came before the second or carries more time than its client had left by then.
+double SentAt(const RequestRecord& request, const AttemptRecord& attempt) {
+  if (!request.first_sent_at_ms || !request.deadline_ms) return request.sent_at_ms;
+  const double left_ms = *request.deadline_ms - request.sent_at_ms;
+  const bool is_of_first = attempt.received_at_ms < request.sent_at_ms || attempt.time_left_ms > left_ms;
+  return is_of_first ? *request.first_sent_at_ms : request.sent_at_ms;
+}
+
 void CheckDeadline(CheckContext& context, const AttemptRecord& attempt, const RequestRecord& request) {
   if (!request.deadline_ms || !attempt.time_left_ms) return;
   const double left_ms = *request.deadline_ms - attempt.received_at_ms;
-  const double transit_ms = attempt.received_at_ms - request.sent_at_ms;
-  const double held_up_ms =
-      transit_ms - context.index.RunningTime(request.sent_at_ms, attempt.received_at_ms);
+  const double sent_ms = SentAt(request, attempt);
+  const double transit_ms = attempt.received_at_ms - sent_ms;
+  const double held_up_ms = transit_ms - context.index.RunningTime(sent_ms, attempt.received_at_ms);
   if (*attempt.time_left_ms <= left_ms + held_up_ms + kDeadlineToleranceMs + context.rules.link_delay_ms)
     return;
   const double looked_ms = *request.deadline_ms - *attempt.time_left_ms;  // it promised what was left then
@@ -75,11 +84,10 @@
     return;
   }
   ++context.verdict.excess_deadlines;
-  context.AddViolation(
-      attempt.id + " came to " + attempt.backend + " with " + FormatMs(*attempt.time_left_ms) +
-      " ms left, its client had " + FormatMs(left_ms) + ", " + FormatMs(transit_ms) +
-      " ms after its last byte, by " + request.proxy +
-      context.index.DescribeDisruptions(request.proxy, request.sent_at_ms, attempt.received_at_ms));
+  context.AddViolation(attempt.id + " came to " + attempt.backend + " with " +
+                       FormatMs(*attempt.time_left_ms) + " ms left, its client had " + FormatMs(left_ms) +
+                       ", " + FormatMs(transit_ms) + " ms after its last byte, by " + request.proxy +
+                       context.index.DescribeDisruptions(request.proxy, sent_ms, attempt.received_at_ms));
 }
 
 }  // namespace
--- a/tests/standins/clients.cpp
+++ b/tests/standins/clients.cpp
@@ -176,7 +176,7 @@
   const LoadClass& cls = load_.classes[record->request_class];
   const auto due = record->due = Clock::now() + cls.deadline;
   const std::size_t proxy = record->proxy = PickProxy();
-  record->sent = Clock::now();
+  record->first_sent = record->sent = Clock::now();
   record->end = Record::End::kUnsent;
   if (proxy == addresses_.size()) {
     ++account_.unsent;
@@ -223,6 +223,7 @@
     request.prepare_payload();
     connection->stream.expires_at(due + milliseconds(100));
     record->sent = Clock::now();
+    if (turn == 0) record->first_sent = record->sent;
     co_await http::async_write(connection->stream, request, token);
     http::response_parser<http::string_body> parser;
     if (!error) co_await http::async_read(connection->stream, connection->buffer, parser, token);
