Tell a late response from one that the test's own processes held up

Cause: a paced client gives up 100 ms after its time.

Change: such a request counts "unjudged" in the run's last line if the client's time was not over while both the client and the link proxy (of direct clients: the client alone) ran. Lags of other processes don't count, and a connection that is closed without a response is lost however late the test ran. More than one request in a hundred unjudged, and all of them count as lost: such a run shows too little.

Measured: without the change VerdictTest.AClientWhoseOwnProcessesWereNotRunHasNotWaitedInFull finds 1 lost of 0; one ms less of lag, and the request is lost.

--- a/tests/multiprocess/history.h
+++ b/tests/multiprocess/history.h
@@ -46,7 +46,8 @@
   bool closed_by_peer = false;                       ///< Lost: the connection was closed before the deadline.
   std::optional<double> previous_response_at_ms;     ///< The last one before on its connection, if any.
   std::optional<double> unread_bytes;  ///< Given up: bytes of its connection not read by the proxy.
-  bool is_direct = false;  ///< Its connection was accepted by the proxy's machine, not by the link proxy.
+  bool is_direct = false;      ///< Its connection was accepted by the proxy's machine, not by the link proxy.
+  std::string client_process;  ///< The name of its client's process.
 };
 
 /// A request that its client sent a second time, since the close of an idle persistent connection crossed it
--- a/tests/multiprocess/verdict.h
+++ b/tests/multiprocess/verdict.h
@@ -53,14 +53,15 @@
 struct Verdict {
   /// \name Outcomes of requests
   /// @{
-  std::uint64_t requests = 0;     ///< All of them.
-  std::uint64_t served = 0;       ///< Answered with 200.
-  std::uint64_t rejected = 0;     ///< Answered with 429 or 503.
-  std::uint64_t failed = 0;       ///< Answered with another status.
-  std::uint64_t unsent = 0;       ///< Never sent.
-  std::uint64_t cancelled = 0;    ///< Its client closed the connection.
-  std::uint64_t excused = 0;      ///< Lost, through the nemesis.
-  std::uint64_t late = 0;         ///< Answered after its deadline.
+  std::uint64_t requests = 0;   ///< All of them.
+  std::uint64_t served = 0;     ///< Answered with 200.
+  std::uint64_t rejected = 0;   ///< Answered with 429 or 503.
+  std::uint64_t failed = 0;     ///< Answered with another status.
+  std::uint64_t unsent = 0;     ///< Never sent.
+  std::uint64_t cancelled = 0;  ///< Its client closed the connection.
+  std::uint64_t excused = 0;    ///< Lost, through the nemesis.
+  std::uint64_t unjudged = 0;   ///< Lost, but client or link proxy were not run for too long to tell by whom.
+  std::uint64_t late = 0;       ///< Answered after its deadline.
   std::uint64_t close_races = 0;  ///< Sent a second time, see CloseRaceRecord.
   /// Attempts that were right when their proxy was stopped while about to send them, and too late when it
   /// was continued.
--- a/tests/multiprocess/verdict_requests.cpp
+++ b/tests/multiprocess/verdict_requests.cpp
@@ -20,6 +20,8 @@
 // From the link proxy's accepting a connection to its own connection to the proxy.
 constexpr double kMaxLinkProxyConnectMs = 50;
 
+constexpr double kMaxUnjudgedShare = 0.01;  // of the requests: a run with more of them tells too little
+
 // For people: where a lost request stood on its connection.
 std::string DescribePosition(const RequestRecord& request) {
   if (!request.is_direct) return "";
@@ -46,6 +48,17 @@
   return false;
 }
 
+// Whether the time of a client that gave up was over only because the system did not run it or the link proxy
+// between it and its proxy: a response may have been on its way.
+bool MayHaveHeldUpResponse(const HistoryIndex& index, const RequestRecord& request) {
+  if (request.closed_by_peer || !request.deadline_ms || request.ended_at_ms <= *request.deadline_ms)
+    return false;
+  std::vector<std::string> processes{request.client_process};
+  if (!request.is_direct) processes.emplace_back(kLinkProxyProcess);
+  return index.RunningTimeOf(processes, request.sent_at_ms, request.ended_at_ms) <=
+         *request.deadline_ms - request.sent_at_ms;
+}
+
 void CheckLost(CheckContext& context, const RequestRecord& request) {
   const std::vector<Disruption>& disruptions = context.index.DisruptionsOf(request.proxy);
   if (std::any_of(disruptions.begin(), disruptions.end(),
@@ -53,6 +66,10 @@
     ++context.verdict.excused;
     return;
   }
+  if (MayHaveHeldUpResponse(context.index, request)) {
+    ++context.verdict.unjudged;
+    return;
+  }
   ++context.verdict.lost;
   const std::string what = request.closed_by_peer ? " had its connection closed with no answer by "
                                                   : " had no answer in its time from ";
@@ -92,6 +109,16 @@
   }
 }
 
+// All that is unjudged counts as lost where it is more than a few requests.
+void LimitUnjudged(CheckContext& context) {
+  Verdict& verdict = context.verdict;
+  const double max_unjudged = std::max(1.0, kMaxUnjudgedShare * static_cast<double>(verdict.requests));
+  if (static_cast<double>(verdict.unjudged) <= max_unjudged) return;
+  verdict.lost += verdict.unjudged;
+  context.AddViolation(std::to_string(verdict.unjudged) + " of " + std::to_string(verdict.requests) +
+                       " requests had no answer while their clients or the link proxy were not run");
+}
+
 bool IsAnswered(RequestOutcome outcome) {
   return outcome == RequestOutcome::kServed || outcome == RequestOutcome::kRejected ||
          outcome == RequestOutcome::kFailed;
@@ -127,6 +154,7 @@
     context.AddViolation(request.id + " had an answer that is not its own, or more than one, from " +
                          request.proxy);
   }
+  LimitUnjudged(context);
 }
 
 void CheckCloseRaces(CheckContext& context) {
--- a/tests/multiprocess/verdict_test.cpp
+++ b/tests/multiprocess/verdict_test.cpp
@@ -125,6 +125,34 @@
   EXPECT_EQ(run.Check().lost, 1u) << "the proxy's machine accepted it";
 }
 
+// A client and a link proxy that were not run held up the response themselves.
+TEST(VerdictTest, AClientWhoseOwnProcessesWereNotRunHasNotWaitedInFull) {
+  TestRun run;
+  RequestRecord& request = run.history.requests[1];
+  request.outcome = RequestOutcome::kLost;
+  request.client_process = "clients-0";
+  request.deadline_ms = 2500;
+  request.ended_at_ms = 2600;
+  EXPECT_EQ(run.Check().lost, 1u);
+  run.history.lags = {{1000, 1050, kLinkProxyProcess}, {2550, 2599, "clients-0"}};
+  EXPECT_EQ(run.Check().lost, 1u) << "it waited for a ms more than its time";
+  run.history.lags.push_back({2500, 2600, "clients-1"});
+  run.history.lags.push_back({2500, 2600, "z0"});
+  EXPECT_EQ(run.Check().lost, 1u) << "those are not between it and its proxy";
+  run.history.lags.push_back({2549, 2551, kLinkProxyProcess});
+  EXPECT_EQ(run.Check().lost, 0u);
+  EXPECT_EQ(run.Check().unjudged, 1u);
+  EXPECT_TRUE(run.Check().Passed());
+  request.closed_by_peer = true;
+  EXPECT_EQ(run.Check().lost, 1u) << "no delay ends a connection without a response";
+  request.closed_by_peer = false;
+  run.history.requests.push_back(request);
+  EXPECT_EQ(run.Check().lost, 2u) << "so many of so few tell too little";
+  run.history.requests.pop_back();
+  run.history.requests[1].is_direct = true;
+  EXPECT_EQ(run.Check().lost, 1u) << "it is not connected through the link proxy";
+}
+
 // Direct clients wait half a second beyond their deadline, and a stop is shorter.
 TEST(VerdictTest, AStopExcusesNothingForDirectClients) {
   TestRun run;
