Give the link proxy its 50 ms to connect while it runs, not while it waits for a processor

Cause: a request that the link proxy has accepted while its proxy closed the listener is excused if it was written within 50 ms before that: so long the link proxy may take to connect. Where it was not run meanwhile it connects later, is refused, and the client's connection ends: lost, though the proxy never had it.

Change: the 50 ms don't count while the link proxy was not run.

Without the change VerdictTest.AShutdownExcusesOnlyRequestsSentAfterwards excuses 0 of 1; with one ms less of lag it is lost.

--- a/tests/multiprocess/verdict_test.cpp
+++ b/tests/multiprocess/verdict_test.cpp
@@ -119,6 +119,10 @@
   run.history.disruptions[0].from_ms = 1100;
   request.ended_at_ms = 1200;
   EXPECT_EQ(run.Check().lost, 1u) << "it was sent while the proxy listened";
+  run.history.lags = {{1005, 1055, "clients-0"}, {1005, 1054, kLinkProxyProcess}};
+  EXPECT_EQ(run.Check().lost, 1u) << "the link proxy had time to connect";
+  run.history.lags[1].until_ms = 1055;
+  EXPECT_EQ(run.Check().excused, 1u) << "the link proxy was not run in time to connect";
   run.history.disruptions[0].from_ms = 990;
   EXPECT_EQ(run.Check().lost, 0u);
   request.is_direct = true;
