Don't count the time in which a client waits for its answer as slowness in sending

What callers saw: at the limit of clients, 503 for the first part of a request in the moment in which the request before it was answered.

Cause: since input behind a request is parsed only when that has been answered. Session::BeginRequest then dates the state back to when the bytes came, so IsSlowToSend (250 ms) held at once, and the next eviction rejected it.

Change: EndAnswer sets it after the parsing. The deadline of a request still counts from its first bytes.

--- a/src/proxy/session_write.cpp
+++ b/src/proxy/session_write.cpp
@@ -102,6 +102,7 @@
   listener_.sessions_.MoveToBack(position_);
   Advance();
   if (IsBeforeServing()) {
+    state_since_ = listener_.clock_.Now();  // a next request that has begun to arrive waited for this answer
     ArmReceiveTimeout();
     if (listener_.acceptor_.is_closed()) BeginDrain();
   }
--- a/tests/proxy/session_race_test.cpp
+++ b/tests/proxy/session_race_test.cpp
@@ -88,10 +88,11 @@
     node_.emplace(io_, TestConfig(backends, kScarceDescriptors), ListenerLimits{});
   }
 
-  // As many clients as the limit allows, each with a request that is not answered while `hold_answers_`.
-  std::vector<std::shared_ptr<Wire>> ConnectBusy() {
+  // Clients, by default as many as the limit allows, each with a request that is not answered while
+  // `hold_answers_`.
+  std::vector<std::shared_ptr<Wire>> ConnectBusy(std::size_t count = kMaxClientsOfScarceDescriptors) {
     std::vector<std::shared_ptr<Wire>> busy;
-    for (std::size_t i = 0; i < kMaxClientsOfScarceDescriptors; ++i) {
+    for (std::size_t i = 0; i < count; ++i) {
       busy.push_back(node_->Connect());
       busy.back()->Send(Post("busy-" + std::to_string(i), "certify", "document"));
     }
@@ -196,6 +197,32 @@
   EXPECT_GE(rejected, 1u);
 }
 
+// Guards against a request that was rejected as slow, at the client limit, as soon as the one before it had
+// been answered: the time of that counted as the client's.
+TEST_F(SessionRaceTest, APartOfARequestIsNotSlowWhileTheOneBeforeIsServed) {
+  StartNodeWithScarceDescriptors();
+  const std::vector<std::shared_ptr<Wire>> busy = ConnectBusy(kMaxClientsOfScarceDescriptors - 1);
+  const auto client = node_->Connect();
+  const std::string second = Get("second");
+  client->Send(Get("first") + second.substr(0, 40));
+  ASSERT_TRUE(RunUntilVirtual([&] { return node_->proxy.open_requests() == busy.size() + 1; }));
+  const auto next = node_->Connect();  // for which the proxy tries to evict
+  next->Send(Get("next"));
+  clock_.Advance(kTypicalFirstRequestTime);
+  for (const auto& wire : backend_->wires) wire->Send(Reply(200, "served"));
+  for (milliseconds waited(0); waited < kTypicalFirstRequestTime / 2; waited += milliseconds(1)) {
+    RunAllReady();
+    clock_.Advance(milliseconds(1));
+  }
+  ASSERT_TRUE(IsServed(*client));
+  EXPECT_EQ(client->in.find("HTTP/1.1 503 "), std::string::npos) << client->in;
+  hold_answers_ = false;
+  client->in.clear();
+  client->Send(second.substr(40));
+  EXPECT_TRUE(RunUntilVirtual([&] { return client->closed || IsAnswered(*client); }));
+  EXPECT_TRUE(IsAnswered(*client)) << client->end.message();
+}
+
 // Guards against more clients than max_clients: an eviction that completed and served a request counted as
 // room made.
 TEST_F(SessionRaceTest, AnEvictionThatServesTheRequestAdmitsNoFurtherClient) {
