Count a proxy as killed from before the signal, in multi-process runs

Cause: ProxyFleet::Kill read the time after it had sent SIGKILL.

Change: the time is read first. A proxy can't end a connection by the kill before that.

--- a/tests/multiprocess/proxy_fleet.cpp
+++ b/tests/multiprocess/proxy_fleet.cpp
@@ -132,9 +132,9 @@
 
 void ProxyFleet::Kill(Proxy& proxy) {
   if (proxy.down_since_ms) return;
+  proxy.down_since_ms = NowMs();
   proxy.process->Signal(SIGCONT);
   proxy.process->Signal(SIGKILL);
-  proxy.down_since_ms = NowMs();
 }
 
 void ProxyFleet::Revive(Proxy& proxy) {
