--- a/tests/standins/clients.h
+++ b/tests/standins/clients.h
@@ -62,7 +62,8 @@
   std::size_t request_class = 0, proxy = 0;                  // no proxy: their number
   int attempt = 0;                                           // of its client's tries, from 0
   std::chrono::steady_clock::time_point began, sent, ended;  // the first try; written whole; over
-  std::chrono::steady_clock::time_point first_sent;  // earlier than `sent`: it was written again after a close
+  std::chrono::steady_clock::time_point
+      first_sent;  // earlier than `sent`: it was written again after a close
   End end = End::kServed;
   bool doubled = false;                       // something came after the answer, or the answer is not its own
   std::chrono::steady_clock::time_point due;  // until when its client waits
