Keep the port of a stand-in server while it is down

A call while all three etcd members were down got an error that is not retried (3 connection attempts, more than 3 wanted), and then "cannot listen on 127.0.0.1:44315: Address already in use".

Cause: Etcd::Down closes the listening socket, and the system gives the port to whoever next asks for a free one: another test's server. The third attempt reached that server, which answered, with an error that every member would return (lease 99 does not exist there); Up then found the port taken. Both lines follow from this one cause, and ctest runs as many tests at once as there are processors. Discovery::Down, Backend::Vanish, the test Peer::Refuse, DescriptorLimitTest's "unused" address and the restart of the watch cache in program_test free ports the same way.

Checked with sockets alone, on kernel 6.18, with IP_LOCAL_PORT_RANGE narrowed to the freed port: bind(0) with and without SO_REUSEADDR and connect(2) all took it. With a bound socket that never listens (SO_REUSEADDR) on it, bind fails with EADDRINUSE and connect with EADDRNOTAVAIL, a client is refused, and a server with SO_REUSEADDR listens there twice in turn.

Change: testing::PortReservation is such a socket (close-on-exec, so that started programs hold none more); the servers above keep one for their life. golden_file.h names ::testing in full, since badgerbridge::testing is seen there now.

The race itself is not played in the suite: it needs the system's choice of a port.

--- a/tests/compatibility/golden_file.h
+++ b/tests/compatibility/golden_file.h
@@ -31,7 +31,7 @@
 
 /// Success if `actual` is the golden file's content, byte for byte. The failure shows the first lines that
 /// differ, with those before them, in the form of a unified diff.
-testing::AssertionResult MatchesGoldenFile(std::string_view name, std::string_view actual);
+::testing::AssertionResult MatchesGoldenFile(std::string_view name, std::string_view actual);
 
 /// A JSON value as lines "path: value", one for each leaf, in the order of the text. Empty objects and lists
 /// are leaves. Fields of an object are joined by ".", elements of a list have their index, as in
--- a/tests/proxy/process_test.cpp
+++ b/tests/proxy/process_test.cpp
@@ -23,6 +23,7 @@
 
 #include "proxy/proxy_harness.h"
 #include "proxy/proxy_program.h"
+#include "support/port_reservation.h"
 
 namespace badgerbridge::proxy::testing {
 namespace {
@@ -311,13 +312,9 @@
       backends_.push_back(std::make_unique<Peer>(io_, [this](Wire& wire) { waiting_.push_back(&wire); }));
       endpoints_.push_back(EndpointJson("s-" + std::to_string(i), backends_.back()->address()));
     }
-    {
-      tcp::acceptor unused(io_, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-      discovery_address_ = unused.local_endpoint();
-    }
     std::string config = ConfigJson({endpoints_[0]}, kDescriptors);
     config.replace(config.find("127.0.0.1:1\""), 12,
-                   "127.0.0.1:" + std::to_string(discovery_address_.port()) + "\"");
+                   "127.0.0.1:" + std::to_string(discovery_port_.address().port()) + "\"");
     program_ = std::make_unique<Program>(config, address_, kDescriptors);
   }
 
@@ -339,7 +336,7 @@
       std::snprintf(size, sizeof size, "%zx\r\n", list.size());
       wire.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + (size + list) + "\r\n");
     };
-    discovery_ = std::make_unique<Peer>(io_, send_list, discovery_address_);
+    discovery_ = std::make_unique<Peer>(io_, send_list, discovery_port_.address());
     ASSERT_TRUE(RunUntil(io_, [&] { return !discovery_->requests.empty(); })) << program_->Log();
   }
 
@@ -362,7 +359,7 @@
   asio::io_context io_;
   std::vector<std::unique_ptr<Peer>> backends_;
   std::vector<std::string> endpoints_;
-  tcp::endpoint discovery_address_;
+  const badgerbridge::testing::PortReservation discovery_port_{io_};
   std::unique_ptr<Peer> discovery_;
   std::unique_ptr<Program> program_;
   std::vector<std::shared_ptr<Wire>> idle_clients_;
--- a/tests/proxy/proxy_harness.h
+++ b/tests/proxy/proxy_harness.h
@@ -27,6 +27,7 @@
 #include "proxy/endpoint_list_reader.h"
 #include "proxy/listener.h"
 #include "proxy/proxy.h"
+#include "support/port_reservation.h"
 
 namespace badgerbridge::proxy::testing {
 
@@ -108,7 +109,7 @@
   /// Port 0: any free port.
   Peer(asio::io_context& io, Script script,
        const tcp::endpoint& listen = tcp::endpoint(asio::ip::address_v4::loopback(), 0))
-      : acceptor_(io, listen), script_(std::move(script)) {
+      : port_(io, listen), acceptor_(io, port_.address()), script_(std::move(script)) {
     Accept();
   }
   /// Where it listens.
@@ -138,6 +139,7 @@
     });
   }
 
+  badgerbridge::testing::PortReservation port_;
   tcp::acceptor acceptor_;
   Script script_;
 };
--- a/tests/standins/backends.cpp
+++ b/tests/standins/backends.cpp
@@ -61,7 +61,7 @@
       settings_(std::move(settings)),
       ledger_(ledger),
       acceptor_(io),
-      address_(asio::ip::address_v4::loopback(), 0),
+      port_(io),
       random_(settings_.seed) {
   Return();
 }
@@ -71,7 +71,7 @@
   Vanish();
 }
 
-std::string Backend::address() const { return "127.0.0.1:" + std::to_string(address_.port()); }
+std::string Backend::address() const { return "127.0.0.1:" + std::to_string(port_.address().port()); }
 
 void Backend::Inject(Fault fault, int count) {
   fault_ = fault;
@@ -90,9 +90,8 @@
 void Backend::Return() {
   acceptor_.open(tcp::v4());
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(address_);
+  acceptor_.bind(port_.address());
   acceptor_.listen(1024);
-  address_ = acceptor_.local_endpoint();
   started_ = Clock::now();
   asio::co_spawn(io_, Accept(++turn_), asio::detached);
 }
--- a/tests/standins/backends.h
+++ b/tests/standins/backends.h
@@ -19,6 +19,8 @@
 #include <string>
 #include <vector>
 
+#include "support/port_reservation.h"
+
 namespace badgerbridge::standins {
 
 // What ran, at all backends together. A request with a key counts as run once for each group of backends:
@@ -98,7 +100,7 @@
   BackendSettings settings_;
   Ledger& ledger_;
   boost::asio::ip::tcp::acceptor acceptor_;
-  boost::asio::ip::tcp::endpoint address_;
+  testing::PortReservation port_;
   std::set<std::shared_ptr<Connection>> connections_;
   std::deque<std::shared_ptr<boost::asio::steady_timer>> waiting_;  // for a slot
   std::mt19937_64 random_;
--- a/tests/standins/discovery.cpp
+++ b/tests/standins/discovery.cpp
@@ -52,17 +52,14 @@
   std::string pending;
 };
 
-Discovery::Discovery(asio::io_context& io)
-    : io_(io), acceptor_(io), address_(asio::ip::address_v4::loopback(), 0) {
-  Up();
-}
+Discovery::Discovery(asio::io_context& io) : io_(io), acceptor_(io), port_(io) { Up(); }
 
 Discovery::~Discovery() {
   *alive_ = false;
   Down();
 }
 
-std::string Discovery::address() const { return "127.0.0.1:" + std::to_string(address_.port()); }
+std::string Discovery::address() const { return "127.0.0.1:" + std::to_string(port_.address().port()); }
 
 std::string Discovery::List() const {
   std::string entries;
@@ -108,9 +105,8 @@
 void Discovery::Up() {
   acceptor_.open(tcp::v4());
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(address_);
+  acceptor_.bind(port_.address());
   acceptor_.listen(256);
-  address_ = acceptor_.local_endpoint();
   asio::co_spawn(io_, Accept(++turn_), asio::detached);
 }
 
--- a/tests/standins/discovery.h
+++ b/tests/standins/discovery.h
@@ -15,6 +15,8 @@
 #include <string>
 #include <vector>
 
+#include "support/port_reservation.h"
+
 namespace badgerbridge::standins {
 
 struct Entry {
@@ -50,7 +52,7 @@
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::acceptor acceptor_;
-  boost::asio::ip::tcp::endpoint address_;
+  testing::PortReservation port_;
   std::map<std::string, Entry> entries_;
   std::uint64_t index_ = 1, turn_ = 0;
   std::set<std::shared_ptr<Watch>> watches_;
--- a/tests/standins/etcd.cpp
+++ b/tests/standins/etcd.cpp
@@ -24,11 +24,10 @@
 
 Etcd::Etcd(asio::io_context& io, EtcdSettings settings)
     : io_(io), settings_(std::move(settings)), store_(std::make_unique<EtcdStore>()), timer_(io) {
-  for (int i = 0; i < settings_.members; ++i) {
-    members_.push_back(std::make_unique<Member>());
-    members_.back()->number = static_cast<std::size_t>(i);
-    members_.back()->address = tcp::endpoint(asio::ip::address_v4::loopback(), 0);
-    Up(static_cast<std::size_t>(i));
+  const auto count = static_cast<std::size_t>(settings_.members);
+  for (std::size_t i = 0; i < count; ++i) {
+    members_.push_back(std::make_unique<Member>(io_, i));
+    Up(i);
   }
   Tick();
 }
@@ -38,7 +37,7 @@
   for (auto& member : members_) member->server.reset();
 }
 
-tcp::endpoint Etcd::address(std::size_t member) const { return members_[member]->address; }
+tcp::endpoint Etcd::address(std::size_t member) const { return members_[member]->port.address(); }
 
 void Etcd::Up(std::size_t number) {
   Member& member = *members_[number];
@@ -56,8 +55,8 @@
   const auto on_connection = [this, &member](const std::shared_ptr<etcd::ServerConnection>& link) {
     return AcceptConnection(member, link);
   };
-  member.server = std::make_unique<etcd::Server>(io_, member.address, std::move(options), on_connection);
-  member.address = member.server->address();
+  member.server =
+      std::make_unique<etcd::Server>(io_, member.port.address(), std::move(options), on_connection);
 }
 
 etcd::Http2ServerHandler Etcd::AcceptConnection(Member& member,
--- a/tests/standins/etcd_calls.cpp
+++ b/tests/standins/etcd_calls.cpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <utility>
 
+#include "http_api/address.h"
 #include "standins/etcd_fields.h"
 #include "standins/etcd_internal.h"
 
@@ -276,8 +277,7 @@
     std::string name = "m";
     name += std::to_string(member->number);
     listed->set_name(std::move(name));
-    listed->add_clienturls("http://" + member->address.address().to_string() + ":" +
-                           std::to_string(member->address.port()));
+    listed->add_clienturls("http://" + http_api::ToText(member->port.address()));
   }
   call.Answer({}, std::move(response));
 }
--- a/tests/standins/etcd_internal.h
+++ b/tests/standins/etcd_internal.h
@@ -18,14 +18,18 @@
 #include <vector>
 
 #include "standins/etcd.h"
+#include "support/port_reservation.h"
 
 namespace badgerbridge::standins {
 
 /// One member of the cluster, with a server of its own.
 struct Etcd::Member {
-  std::size_t number = 0;  ///< Index among the members.
+  /// The member with this index; it takes a free port.
+  Member(boost::asio::io_context& io, std::size_t index) : number(index), port(io) {}
+
+  std::size_t number;  ///< Index among the members.
+  testing::PortReservation port;
   std::unique_ptr<etcd::Server> server;
-  boost::asio::ip::tcp::endpoint address;
   std::set<std::shared_ptr<Connection>> connections;
   std::optional<std::size_t> cut_after_bytes;  ///< See Etcd::CutAfter.
   bool is_silent = false;                      ///< See Etcd::Silence.
--- a/tests/watch_cache/program_test.cpp
+++ b/tests/watch_cache/program_test.cpp
@@ -15,6 +15,7 @@
 #include "http_api/address.h"
 #include "http_api/server.h"
 #include "standins/certificates.h"
+#include "support/port_reservation.h"
 #include "watch_cache/service_harness.h"
 
 namespace badgerbridge::watch_cache {
@@ -83,9 +84,14 @@
       unlink((directory + "/" + file).c_str());
     rmdir(directory.c_str());
   }
-  std::unique_ptr<Program> Run(std::vector<std::string> more = {}) {
-    std::vector<std::string> arguments = {
-        "--listen", "127.0.0.1:0", "--upstream", http_api::ToText(etcd->address(0)), "--prefix", kPrefix};
+  std::unique_ptr<Program> Run(const std::vector<std::string>& more = {}) {
+    return RunAt({boost::asio::ip::address_v4::loopback(), 0}, more);
+  }
+  /// Starts the watch cache; port 0: any free port.
+  std::unique_ptr<Program> RunAt(const tcp::endpoint& address, const std::vector<std::string>& more = {}) {
+    std::vector<std::string> arguments = {"--listen",   http_api::ToText(address),
+                                          "--upstream", http_api::ToText(etcd->address(0)),
+                                          "--prefix",   kPrefix};
     arguments.insert(arguments.end(), more.begin(), more.end());
     return std::make_unique<Program>(arguments, directory + "/log");
   }
@@ -153,9 +159,10 @@
 
 TEST_F(ProgramTest, ReadersReachSourceStateAfterKillAndRestart) {
   StartEtcd();
-  auto program = Run();
-  ASSERT_TRUE(Until([&] { return program->Address().has_value(); })) << program->Log();
-  const tcp::endpoint address = *program->Address();
+  const badgerbridge::testing::PortReservation port(io);
+  const tcp::endpoint address = port.address();
+  auto program = RunAt(address);
+  ASSERT_TRUE(Until([&] { return program->Address() == address; })) << program->Log();
   const auto reader = MakeReader({address});
   ASSERT_TRUE(Until([&] { return Holds(*reader); })) << reader->last_error;
   const auto held = reader->keys;
@@ -164,10 +171,7 @@
   ASSERT_TRUE(Until([&] { return program->ended() && reader->disconnects > 0; }));
   EXPECT_EQ(reader->keys.size(), held.size());
   Delete("m2");
-  program = std::make_unique<Program>(
-      std::vector<std::string>{"--listen", http_api::ToText(address), "--upstream",
-                               http_api::ToText(etcd->address(0)), "--prefix", kPrefix},
-      directory + "/log");
+  program = RunAt(address);
   ASSERT_TRUE(Until([&] { return Holds(*reader); })) << reader->last_error << program->Log();
   EXPECT_GE(reader->drains[kPrefix + "m1"], 1);
   EXPECT_EQ(reader->revision_decreases, 0);
