Take an accept queue that can't be polled for one in which a connection waits

What callers would see: connections reset at a stop, with their requests.

Cause: ConnectionAcceptor::HasWaiting returned `poll(...) > 0`, so a poll(2) that fails (ENOMEM) passed for an empty queue, and Listener::CloseListener closed the listening socket, which resets what is in the queue.

Change: only 0, "nothing is ready", counts as empty. The wait that follows was bounded already, by StopSchedule::MayRetryAccept. The fault injection of the tests knows poll(2).

--- a/src/proxy/connection_acceptor.cpp
+++ b/src/proxy/connection_acceptor.cpp
@@ -53,7 +53,7 @@
 bool ConnectionAcceptor::HasWaiting() {
   if (has_unadmitted()) return true;
   pollfd queue{acceptor_.native_handle(), POLLIN, 0};
-  return ::poll(&queue, 1, 0) > 0;
+  return ::poll(&queue, 1, 0) != 0;  // -1: unknown, so one may be waiting
 }
 
 void ConnectionAcceptor::StopNewHandshakes() { net::StopNewHandshakes(acceptor_); }
--- a/src/proxy/connection_acceptor.h
+++ b/src/proxy/connection_acceptor.h
@@ -54,7 +54,7 @@
   AcceptResult AcceptOne();
   /// Whether a connection is kept that could not be admitted yet.
   bool has_unadmitted() const { return unadmitted_ != kNoDescriptor; }
-  /// Whether AcceptOne() has a connection to accept or to admit.
+  /// Whether AcceptOne() has a connection to accept or to admit, or may have one: the queue can't be polled.
   bool HasWaiting();
 
   /// Stops accepting new TCP handshakes, if the system supports that (net::StopNewHandshakes).
--- a/tests/support/fault_injection.cpp
+++ b/tests/support/fault_injection.cpp
@@ -4,6 +4,7 @@
 #include <dlfcn.h>
 #include <execinfo.h>
 #include <malloc.h>
+#include <poll.h>
 #include <sys/epoll.h>
 #include <sys/mman.h>
 #include <sys/socket.h>
@@ -139,13 +140,18 @@
   return static_cast<int>(syscall(SYS_epoll_ctl, epoll, operation, descriptor, event));
 }
 
+int poll(pollfd* descriptors, nfds_t count, int timeout_ms) {
+  if (SystemCallFails(Call::kPoll)) return -1;
+  return static_cast<int>(syscall(SYS_poll, descriptors, count, timeout_ms));
+}
+
 }  // extern "C"
 
 namespace badgerbridge::testing {
 
 const char* NameOf(Call call) {
   constexpr std::array<const char*, static_cast<std::size_t>(Call::kCount)> kNames{
-      "allocation", "accept", "socket", "connect", "setsockopt", "shutdown", "epoll_ctl"};
+      "allocation", "accept", "socket", "connect", "setsockopt", "shutdown", "epoll_ctl", "poll"};
   return kNames[static_cast<std::size_t>(call)];
 }
 
--- a/tests/support/fault_injection.h
+++ b/tests/support/fault_injection.h
@@ -18,6 +18,7 @@
   kSetsockopt,  ///< setsockopt(2).
   kShutdown,    ///< shutdown(2).
   kEpollCtl,    ///< epoll_ctl(2), when it adds a descriptor.
+  kPoll,        ///< poll(2).
   kCount,       ///< How many there are.
 };
 
