Force the longer wait of a stop for want of descriptors, in a test

Why: lengthened that wait from one second after the stop's begin to the answer deadline (1.3 s with the tests' settings), and only the limit of clients was forced by a test.

Change: SessionRaceTest.AConnectionThatWaitsForADescriptorDuringAStopIsAnswered: accept(2) fails with EMFILE for 800 ms from 0.1 s before the listener should close; the request that waits is served after. The fixture of the session races moves, as it was, to a header of its own, with doc comments.

--- a/tests/proxy/connection_acceptor_test.cpp
+++ b/tests/proxy/connection_acceptor_test.cpp
@@ -1,16 +1,17 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// ConnectionAcceptor when connections can't be accepted or admitted.
+// ConnectionAcceptor, and a listener that can't accept, when system calls fail.
 #include "proxy/connection_acceptor.h"
 
 #include <gtest/gtest.h>
 #include <unistd.h>
 
 #include <cerrno>
+#include <limits>
 #include <stdexcept>
 #include <vector>
 
-#include "proxy/proxy_harness.h"
+#include "proxy/session_race_fixture.h"
 #include "support/fault_injection.h"
 
 namespace badgerbridge::proxy::testing {
@@ -19,8 +20,11 @@
 using badgerbridge::testing::Call;
 using badgerbridge::testing::CountedScope;
 using badgerbridge::testing::PlannedFault;
+using std::chrono::milliseconds;
 using AcceptResult = ConnectionAcceptor::AcceptResult;
 
+constexpr int kEachCall = std::numeric_limits<int>::max();
+
 class ConnectionAcceptorTest : public ::testing::Test {
  protected:
   ~ConnectionAcceptorTest() override {
@@ -70,5 +74,31 @@
   EXPECT_TRUE(fault.happened());
 }
 
+// Guards against connections that the close of the listener reset, with their requests, one second into a
+// stop in which no descriptor was free.
+TEST_F(SessionRaceTest, AConnectionThatWaitsForADescriptorDuringAStopIsAnswered) {
+  constexpr milliseconds kBeforeTheClose{100};
+  constexpr milliseconds kWithoutDescriptors{800};
+  bool stopped = false;
+  node_->listener.Stop([&] { stopped = true; });
+  clock_.Advance(kAcceptGrace - kBeforeTheClose);
+  const auto queued = node_->Connect();
+  queued->Send(Get("queued"));
+  {
+    const PlannedFault fault(Call::kAccept, 0, kEachCall, EMFILE);
+    const CountedScope scope;
+    for (milliseconds waited(0); waited < kWithoutDescriptors; waited += milliseconds(1)) {
+      clock_.Advance(milliseconds(1));
+      RunAllReady();
+    }
+    EXPECT_TRUE(fault.happened());
+  }
+  EXPECT_FALSE(queued->closed) << queued->end.message();
+  EXPECT_TRUE(RunUntilVirtual([&] { return queued->closed; }));
+  EXPECT_TRUE(IsServed(*queued)) << queued->in << queued->end.message();
+  queued->Close();
+  EXPECT_TRUE(RunUntilVirtual([&] { return stopped; }));
+}
+
 }  // namespace
 }  // namespace badgerbridge::proxy::testing
--- a/tests/proxy/session_race_test.cpp
+++ b/tests/proxy/session_race_test.cpp
@@ -18,8 +18,7 @@
 #include <string>
 #include <vector>
 
-#include "proxy/proxy_harness.h"
-#include "support/virtual_clock.h"
+#include "proxy/session_race_fixture.h"
 
 namespace badgerbridge::proxy::testing {
 namespace {
@@ -27,85 +26,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kKeepAlive{2200};
-constexpr milliseconds kAcceptGrace{500};  // as in ListenerLimits
 constexpr milliseconds kTypicalFirstRequestTime{250};
-constexpr int kManyDescriptors = 1024;
-constexpr int kScarceDescriptors = 64;
-constexpr std::size_t kMaxClientsOfScarceDescriptors = 8;  // max_clients with kScarceDescriptors
-
-class SessionRaceTest : public ::testing::Test {
- protected:
-  SessionRaceTest() {
-    backend_.emplace(io_, [this](Wire& wire) {
-      if (hold_answers_) return;
-      wire.Send(Reply(200, "served"));
-    });
-    StartNode(kManyDescriptors);
-  }
-
-  void StartNode(int descriptors, ListenerLimits limits = {}) {
-    node_.reset();
-    node_.emplace(io_, TestConfig({EndpointJson("s-1", backend_->address())}, descriptors), limits);
-  }
-
-  static bool IsAnswered(const Wire& client) { return client.in.find("\r\n\r\n") != std::string::npos; }
-  static bool IsServed(const Wire& client) { return client.in.rfind("HTTP/1.1 200 ", 0) == 0; }
-
-  void RunAllReady() {
-    io_.restart();
-    io_.poll();
-  }
-
-  // Runs handlers until the condition holds, and advances the clock by a millisecond if none is ready. False
-  // if the condition does not hold within 20 virtual seconds.
-  template <typename Condition>
-  bool RunUntilVirtual(Condition holds) {
-    constexpr int kMaxSteps = 20000;
-    for (int step = 0; step < kMaxSteps; ++step) {
-      if (holds()) return true;
-      io_.restart();
-      if (io_.poll() == 0) clock_.Advance(milliseconds(1));
-    }
-    return holds();
-  }
-
-  std::shared_ptr<Wire> ConnectIdle() {
-    auto client = node_->Connect();
-    client->Send(Get("first"));
-    EXPECT_TRUE(RunUntilVirtual([&] { return client->in.find("served") != std::string::npos; }));
-    client->in.clear();
-    RunAllReady();
-    return client;
-  }
-
-  // A proxy with enough backends, which hold all answers, for ConnectBusy().
-  void StartNodeWithScarceDescriptors() {
-    hold_answers_ = true;
-    node_.reset();
-    std::vector<std::string> backends;
-    for (const char* name : {"s-1", "s-2", "s-3", "s-4"})
-      backends.push_back(EndpointJson(name, backend_->address()));
-    node_.emplace(io_, TestConfig(backends, kScarceDescriptors), ListenerLimits{});
-  }
-
-  // Clients, by default as many as the limit allows, each with a request that is not answered while
-  // `hold_answers_`.
-  std::vector<std::shared_ptr<Wire>> ConnectBusy(std::size_t count = kMaxClientsOfScarceDescriptors) {
-    std::vector<std::shared_ptr<Wire>> busy;
-    for (std::size_t i = 0; i < count; ++i) {
-      busy.push_back(node_->Connect());
-      busy.back()->Send(Post("busy-" + std::to_string(i), "certify", "document"));
-    }
-    EXPECT_TRUE(RunUntilVirtual([&] { return node_->proxy.open_requests() == busy.size(); }));
-    return busy;
-  }
-
-  badgerbridge::testing::VirtualClock clock_;
-  asio::io_context io_;
-  std::optional<Peer> backend_;
-  std::optional<Node> node_;
-  bool hold_answers_ = false;
-};
 
 // A complete request and the keep-alive timeout become ready in the same iteration.
 TEST_F(SessionRaceTest, ARequestThatMeetsTheKeepAliveTimeoutIsAnswered) {
