Name the process of records in one function of RoleProcess

Need: three loops of AddRecords had one shape; the comment on first_sent_at_ms said that it is set only if the request was written twice, while paced clients always set it.

Change: AppendOf sets the member that names the process and appends; the comment says what is recorded. No behaviour changes.

--- a/tests/multiprocess/history.h
+++ b/tests/multiprocess/history.h
@@ -34,8 +34,8 @@
   std::size_t request_class = 0;  ///< Index in VerdictRules::classes.
   std::string proxy;              ///< Empty: no proxy was ready.
   double started_at_ms = 0;       ///< When the client's first attempt began.
-  /// When its last byte was written for the first time, if that was before `sent_at_ms`: a close crossed it,
-  /// and it was written again on another connection.
+  /// When its last byte was written for the first time, if recorded. Before `sent_at_ms` if a close crossed
+  /// it and it was written again on another connection.
   std::optional<double> first_sent_at_ms;
   double sent_at_ms = 0;                             ///< When its last byte was written.
   double ended_at_ms = 0;                            ///< When it was over.
--- a/tests/multiprocess/role_process.cpp
+++ b/tests/multiprocess/role_process.cpp
@@ -12,6 +12,16 @@
   all.insert(all.end(), more.begin(), more.end());
 }
 
+// Appends records with the name of the process that they are of.
+template <typename Record>
+void AppendOf(const std::string& process, std::string Record::*process_of, std::vector<Record>& all,
+              const std::vector<Record>& more) {
+  for (Record record : more) {
+    record.*process_of = process;
+    all.push_back(std::move(record));
+  }
+}
+
 }  // namespace
 
 RoleProcess::RoleProcess(RunContext& context, const std::string& role, std::string name)
@@ -30,20 +40,11 @@
 
 void RoleProcess::AddRecords(const Records& records) {
   History& history = context_.history;
-  for (RequestRecord request : records.requests) {
-    request.client_process = name_;
-    history.requests.push_back(std::move(request));
-  }
+  AppendOf(name_, &RequestRecord::client_process, history.requests, records.requests);
   Append(history.close_races, records.close_races);
-  for (AttemptRecord attempt : records.attempts) {
-    attempt.backend_process = name_;
-    history.attempts.push_back(std::move(attempt));
-  }
+  AppendOf(name_, &AttemptRecord::backend_process, history.attempts, records.attempts);
   Append(history.notifications, records.notifications);
-  for (EventLoopLag lag : records.lags) {
-    lag.process = name_;
-    history.lags.push_back(std::move(lag));
-  }
+  AppendOf(name_, &EventLoopLag::process, history.lags, records.lags);
 }
 
 void RoleProcess::AddEnded(const Ended& ended) {
