--- a/tests/standins/discovery.cpp
+++ b/tests/standins/discovery.cpp
@@ -46,9 +46,9 @@
 }
 
 struct Discovery::Watch {
-  Watch(asio::io_context& io, tcp::socket s) : socket(std::move(s)), news(io) {}
+  Watch(asio::io_context& io, tcp::socket s) : socket(std::move(s)), updated(io) {}
   tcp::socket socket;
-  asio::steady_timer news;
+  asio::steady_timer updated;
   std::string pending;
 };
 
@@ -70,17 +70,17 @@
   return Line(index_, true, entries);
 }
 
-void Discovery::Tell(const std::string& entry) {
+void Discovery::NotifyWatches(const std::string& entry) {
   ++index_;
   for (const auto& watch : watches_) {
     watch->pending += Chunk(Line(index_, false, entry));
-    watch->news.cancel();
+    watch->updated.cancel();
   }
 }
 
 void Discovery::Set(const Entry& entry) {
   entries_[entry.name] = entry;
-  Tell(entry.Json());
+  NotifyWatches(entry.Json());
 }
 
 void Discovery::Remove(const std::string& name) {
@@ -89,16 +89,16 @@
   Entry gone = found->second;
   gone.status = "Gone";
   entries_.erase(found);
-  Tell(gone.Json());
+  NotifyWatches(gone.Json());
 }
 
 void Discovery::Down() {
-  ++turn_;
+  ++generation_;
   beast::error_code ignored;
   acceptor_.close(ignored);
   for (const auto& watch : watches_) {
     watch->socket.close(ignored);
-    watch->news.cancel();
+    watch->updated.cancel();
   }
 }
 
@@ -107,14 +107,14 @@
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
   acceptor_.bind(port_.address());
   acceptor_.listen(256);
-  asio::co_spawn(io_, Accept(++turn_), asio::detached);
+  asio::co_spawn(io_, Accept(++generation_), asio::detached);
 }
 
-asio::awaitable<void> Discovery::Accept(std::uint64_t turn) {
+asio::awaitable<void> Discovery::Accept(std::uint64_t generation) {
   const auto alive = alive_;
   beast::error_code error;
   auto token = asio::redirect_error(asio::use_awaitable, error);
-  while (*alive && turn == turn_) {
+  while (*alive && generation == generation_) {
     tcp::socket socket = co_await acceptor_.async_accept(token);
     if (!*alive || error) co_return;
     asio::co_spawn(io_, Serve(std::move(socket)), asio::detached);
@@ -123,13 +123,13 @@
 
 asio::awaitable<void> Discovery::Serve(tcp::socket socket) {
   const auto alive = alive_;
-  const std::uint64_t turn = turn_;
+  const std::uint64_t generation = generation_;
   beast::error_code error;
   auto token = asio::redirect_error(asio::use_awaitable, error);
   beast::flat_buffer buffer(16384);
   http::request<http::string_body> request;
   co_await http::async_read(socket, buffer, request, token);
-  if (error || !*alive || turn != turn_) co_return;
+  if (error || !*alive || generation != generation_) co_return;
   const std::string target(request.target());
   if (target.rfind("/v1/endpoints", 0) != 0) {
     const std::string answer = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
@@ -147,11 +147,11 @@
   const auto watch = std::make_shared<Watch>(io_, std::move(socket));
   watches_.insert(watch);
   watch->pending = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Chunk(List());
-  while (*alive && turn == turn_ && !error) {
+  while (*alive && generation == generation_ && !error) {
     if (watch->pending.empty()) {
       beast::error_code ended;
-      watch->news.expires_after(kHeartbeat);
-      co_await watch->news.async_wait(asio::redirect_error(asio::use_awaitable, ended));
+      watch->updated.expires_after(kHeartbeat);
+      co_await watch->updated.async_wait(asio::redirect_error(asio::use_awaitable, ended));
       if (!*alive) co_return;
       if (watch->pending.empty()) watch->pending = Chunk("");
       continue;
