Take back the subtraction of the test's lateness from a drain in etcd

Cause: EventLoopLagMonitor counts each lag over 5 ms whole, and a busy machine has many small ones, in which proxy and test both go on. Measured on a scratch copy of the test, 32 at once beside 16 busy processes: rounds of 403 to 645 ms counted as 50 to 198 ms, one of 626 as 80. The proxy alone needs some 250 ms to notice a silent connection, so a late drain could pass there.

Not done: the cause of the late rounds with a member down, and of the lost requests.

--- a/tests/multiprocess/event_loop_lag.cpp
+++ b/tests/multiprocess/event_loop_lag.cpp
@@ -1,7 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "multiprocess/event_loop_lag.h"
 
-#include <algorithm>
 #include <chrono>
 
 #include "multiprocess/clock.h"
@@ -28,11 +27,4 @@
   });
 }
 
-double EventLoopLagMonitor::RunningTime(double from_ms, double until_ms) const {
-  double running_ms = until_ms - from_ms;
-  for (const EventLoopLag& lag : lags_)
-    running_ms -= std::max(0.0, std::min(until_ms, lag.until_ms) - std::max(from_ms, lag.from_ms));
-  return running_ms;
-}
-
 }  // namespace badgerbridge::multiprocess
--- a/tests/multiprocess/event_loop_lag.h
+++ b/tests/multiprocess/event_loop_lag.h
@@ -24,8 +24,6 @@
 
   /// The lags so far.
   const std::vector<EventLoopLag>& lags() const { return lags_; }
-  /// The part of this period (in ms of NowMs()) without its lags. A lag counts once it is over.
-  double RunningTime(double from_ms, double until_ms) const;
 
  private:
   void ScheduleMeasurement();
--- a/tests/proxy_main/proxy_process_test.cpp
+++ b/tests/proxy_main/proxy_process_test.cpp
@@ -14,8 +14,6 @@
 
 #include "http_api/client.h"
 #include "membership/member_codec.h"
-#include "multiprocess/clock.h"
-#include "multiprocess/event_loop_lag.h"
 #include "standins/backends.h"
 #include "standins/clients.h"
 #include "standins/discovery.h"
@@ -31,7 +29,6 @@
 using Clock = std::chrono::steady_clock;
 
 const std::string kPrefix = "/badgerbridge/converters/";
-constexpr double kMaxDrainDelayMs = 500;
 
 /// A proxy process, four backends, a stand-in discovery service, and a stand-in etcd with three members.
 class ProxyWithEtcdTest : public ::testing::Test {
@@ -149,13 +146,7 @@
     return "gone";
   }
 
-  /// The time in which etcd, the backends and the clients, which this process plays, were run.
-  double RunningTimeMs(Clock::time_point from, Clock::time_point until) const {
-    return lag_monitor.RunningTime(multiprocess::ToMs(from), multiprocess::ToMs(until));
-  }
-
   asio::io_context io{1};
-  multiprocess::EventLoopLagMonitor lag_monitor{io};
   std::string folder;
   standins::Ledger ledger;
   standins::Discovery discovery{io};
@@ -191,7 +182,7 @@
     }
     const auto until = written + milliseconds(1200);
     ASSERT_TRUE(Until([&] { return Clock::now() > until; }));
-    EXPECT_LT(RunningTimeMs(written, backend.last_taken()), kMaxDrainDelayMs) << "round " << round;
+    EXPECT_LT(backend.last_taken(), written + milliseconds(500)) << "round " << round;
     EXPECT_EQ(StateOf("c" + std::to_string(index)), "draining by etcd: draining");
     if (round % 3 == 1) etcd->Silence(in_use, false);
     Write(index);
