--- a/review/stand.h
+++ b/review/stand.h
@@ -415,7 +415,7 @@
 /// The configuration of a small deployment: the figures of the example on the wire's page, with one zone.
 struct Deployment {
   bool asks_discovery = false;
-  int proxies = 1;
+  int proxies = 1, memory_mb = 192, sockets = 1024;
   std::string Json(const std::string& name, int listen, int discovery, const std::string& known) const {
     const auto one = [](const char* class_name, const char* effect, const char* group, int deadline,
                         int window) {
@@ -426,7 +426,9 @@
     };
     return "{\"name\":\"" + name + "\",\"listen\":\"" + AddressOf(listen) + "\",\"discovery\":\"" +
            AddressOf(discovery) +
-           "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
+           "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":" +
+           std::to_string(memory_mb) + ",\"sockets\":" + std::to_string(sockets) +
+           "},"
            "\"known\":" +
            known + ",\"settings\":{\"balancers\":" + std::to_string(proxies) +
            ",\"me\":0,\"zone\":0,\"zones\":[\"a\"],\"kinds\":[\"m2\"],"
@@ -489,6 +491,7 @@
     }
     return false;
   }
+  pid_t pid() const { return pid_; }
   void Signal(int number) const {
     if (pid_ > 0) ::kill(pid_, number);
   }
