--- a/src/proxy/client_request.h
+++ b/src/proxy/client_request.h
@@ -9,7 +9,7 @@
 
 namespace badgerbridge::proxy {
 
-/// A complete request of a client, as Beast's parser returns it.
+/// A complete request of a client, with the header fields that RequestParser keeps.
 using ClientRequest = boost::beast::http::request<boost::beast::http::string_body>;
 
 }  // namespace badgerbridge::proxy
--- a/src/proxy/request_input.h
+++ b/src/proxy/request_input.h
@@ -7,8 +7,6 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <cstddef>
 #include <optional>
 
@@ -16,6 +14,7 @@
 #include "proxy/balancer_types.h"
 #include "proxy/client_request.h"
 #include "proxy/request_error.h"
+#include "proxy/request_parser.h"
 
 namespace badgerbridge::proxy {
 
@@ -62,7 +61,9 @@
   bool has_failed() const { return error_.has_value(); }
   /// Returns and clears the parse error. Requires has_failed().
   RequestError TakeError();
-  /// Moves the request out. Requires IsComplete().
+  /// Whether the client keeps the connection open after this request (RFC 9112, 9.3). Requires IsComplete().
+  bool KeepsAlive() const { return parser_->keep_alive(); }
+  /// Moves the request out, with the header fields that RequestParser keeps. Requires IsComplete().
   ClientRequest Release() { return parser_->release(); }
 
  private:
@@ -74,7 +75,7 @@
 
   boost::beast::flat_buffer buffer_{kMaxHeaderBytes + kMaxBodyBytes};
   ArrivalTimes arrivals_;  // of the bytes in the buffer
-  std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser_;
+  std::optional<RequestParser> parser_;
   std::optional<RequestError> error_;
   TimePoint began_at_{};
   bool has_begun_ = false;
--- a/src/proxy/request_validator.cpp
+++ b/src/proxy/request_validator.cpp
@@ -11,6 +11,8 @@
 #include <optional>
 #include <string_view>
 
+#include "proxy/request_parser.h"
+
 namespace badgerbridge::proxy {
 
 namespace beast = boost::beast;
@@ -24,11 +26,6 @@
 constexpr unsigned kHttp11 = 11;
 constexpr double kWeightHintUnitsPerMs = 1000;
 
-// Headers whose value the proxy or a backend uses, so they must not be repeated.
-constexpr const char* kSingleHeaders[] = {"Host",          "X-Correlation-Id", "X-Service-Class",
-                                          "X-Account",     "X-Time-Left-Ms",   "Idempotency-Key",
-                                          "X-Weight-Hint", "X-Repeat"};
-
 // The value of the first header with this name; empty if there is none.
 std::string_view HeaderOf(const ClientRequest& request, std::string_view name) {
   const beast::string_view value = request[beast::string_view(name.data(), name.size())];
@@ -120,8 +117,8 @@
       (request.version() < kHttp11 || !beast::iequals(request[http::field::transfer_encoding], "chunked")))
     return RequestError::kUnsupportedTransferEncoding;
   if (request.method() == http::verb::get && HasBody(request)) return RequestError::kGetWithBody;
-  for (const char* name : kSingleHeaders) {
-    if (request.count(name) > 1) return RequestError::kRepeatedHeader;
+  for (const std::string_view name : kSingleFields) {
+    if (request.count(beast::string_view(name.data(), name.size())) > 1) return RequestError::kRepeatedHeader;
   }
   return {};
 }
--- a/src/proxy/session_request.cpp
+++ b/src/proxy/session_request.cpp
@@ -15,9 +15,9 @@
 
 void Session::ServeNext() {
   timer_.Disarm();
+  client_keeps_alive_ = input_.KeepsAlive();
   ClientRequest request = input_.Release();
   const TimePoint began_at = input_.began_at();
-  client_keeps_alive_ = request.keep_alive();
   input_.Reset();
   // After a request with `Connection: close` the client must not send another one; further input is dropped.
   if (!client_keeps_alive_) input_mode_ = InputMode::kDiscard;
--- a/tests/proxy/client_memory_test.cpp
+++ b/tests/proxy/client_memory_test.cpp
@@ -251,5 +251,60 @@
   EXPECT_LE(AllocatedSinceBaseline(), kClients * (kBodyBytes + kMaxBytesWithoutMessages));
 }
 
+// A request with a header of 16 KB that consists of short lines as far as they fit, and with `body`.
+std::string RequestOfShortLines(const std::string& id, const std::string& line, const std::string& body) {
+  constexpr std::size_t kHeaderBytes = 16300;
+  std::string text = Post(id, "certify", body);
+  const std::size_t header_end = text.find("\r\n\r\n") + 2;
+  std::string lines;
+  while (header_end + lines.size() + line.size() < kHeaderBytes) lines += line;
+  return text.insert(header_end, lines);
+}
+
+// Each text is sent by a client of its own, whole but for its last byte.
+class ShortFieldsTest : public ClientMemoryTest, public ::testing::WithParamInterface<const char*> {};
+
+// Guards against a proxy killed for memory (review/6): every field of a header was an allocation of its own,
+// so that a header of 16 KB in thousands of short lines took over 300 KB.
+TEST_P(ShortFieldsTest, AHeaderOfManyShortFieldsHoldsNoMoreThanItsBytes) {
+  const SilentBackend backend(io_);
+  Start(backend.address());
+  std::vector<std::string> texts;
+  for (std::size_t i = 0; i < kClients; ++i) {
+    texts.push_back(
+        RequestOfShortLines("fields-" + std::to_string(i), GetParam(), std::string(kBodyBytes, 'x')));
+    texts.back().pop_back();
+  }
+  SetBaseline();
+  for (const std::string& text : texts) Connect(text);
+  ASSERT_TRUE(RunUntil([&] { return AllHaveSent(); }));
+  EXPECT_LE(peak_bytes_, kClients * kMaxBytesWithoutAnswer);
+  RecordProperty("bytes_per_client", static_cast<int>(peak_bytes_ / kClients));
+}
+
+INSTANTIATE_TEST_SUITE_P(All, ShortFieldsTest,
+                         ::testing::Values("a:\r\n", "x-1:\r\n", "Host:\r\n", "Connection:a\r\n"));
+
+// Guards against the same memory taken by the fields behind a chunked body, which count as header fields.
+TEST_F(ClientMemoryTest, TrailersOfManyShortFieldsHoldNoMoreThanTheirBytes) {
+  constexpr std::size_t kTrailerBytes = 60 << 10;
+  const SilentBackend backend(io_);
+  Start(backend.address());
+  std::vector<std::string> texts;
+  for (std::size_t i = 0; i < kClients; ++i) {
+    std::string text = Post("trailers-" + std::to_string(i), "certify", "");
+    const std::string length = "Content-Length: 0";
+    text.replace(text.find(length), length.size(), "Transfer-Encoding: chunked");
+    text += Chunk(std::string(kBodyBytes, 'x')) + "0\r\n";
+    for (std::size_t bytes = 0; bytes < kTrailerBytes; bytes += 4) text += "a:\r\n";
+    texts.push_back(text);
+  }
+  SetBaseline();
+  for (const std::string& text : texts) Connect(text);
+  ASSERT_TRUE(RunUntil([&] { return AllHaveSent(); }));
+  EXPECT_LE(peak_bytes_, kClients * kMaxBytesWithoutAnswer);
+  RecordProperty("bytes_per_client", static_cast<int>(peak_bytes_ / kClients));
+}
+
 }  // namespace
 }  // namespace badgerbridge::proxy::testing
