--- a/src/proxy/backend_attempt.cpp
+++ b/src/proxy/backend_attempt.cpp
@@ -18,6 +18,7 @@
 constexpr int kIterationsToHandleList = 4;
 // Each iteration of the event loop handles up to 128 descriptors.
 constexpr int kMaxPostponedIterations = 20;
+constexpr Duration kClientCheckInterval{1};
 
 }  // namespace
 
@@ -45,42 +46,62 @@
   attempt_ = std::move(attempt);
   outcome_if_unwritten_ = Outcome::kConnectFailed;
   attempt_number_ = ++pool_->attempt_count_;
+  was_postponed_ = false;
+  awaits_client_ = false;
   postponed_iterations_ = 0;
   iterations_to_postpone_ = 0;
   attempt_started_at_ = pool_->clock_.Now();
 }
 
-// Postpones the attempt while an endpoint list from discovery is unread, since it may drain this backend. A
-// list that has just been read is handled within a few more iterations of the event loop.
 void BackendPool::Connection::Begin() {
-  const bool has_unread_list = pool_->has_unread_list_ && pool_->has_unread_list_();
-  if (has_unread_list) iterations_to_postpone_ = kIterationsToHandleList;
-  const bool may_postpone = iterations_to_postpone_ > 0 && postponed_iterations_ < kMaxPostponedIterations;
-  if (may_postpone) {
-    if (!has_unread_list) --iterations_to_postpone_;
-    return PostponeBegin();
-  }
+  if (MayReceiveEndpointList()) return PostponeBegin();
+  if (MayHaveLostClient()) return AwaitClient();
   // While the attempt was postponed, the backend may have closed the connection or sent unsolicited bytes.
-  if (postponed_iterations_ > 0 && CheckStale()) return End(Outcome::kConnectFailed);
+  if (was_postponed_ && CheckStale()) return End(Outcome::kConnectFailed);
   Write();
 }
 
-void BackendPool::Connection::PostponeBegin() {
+// Whether an endpoint list from discovery is unread, which may drain this backend. A list that has just been
+// read is handled within a few more iterations of the event loop.
+bool BackendPool::Connection::MayReceiveEndpointList() {
+  const bool has_unread_list = pool_->has_unread_list_ && pool_->has_unread_list_();
+  if (has_unread_list) iterations_to_postpone_ = kIterationsToHandleList;
+  if (iterations_to_postpone_ == 0 || postponed_iterations_ >= kMaxPostponedIterations) return false;
+  if (!has_unread_list) --iterations_to_postpone_;
   ++postponed_iterations_;
-  SetTimer(std::min(attempt_.deadline, attempt_.begin_before));
+  return true;
+}
+
+// Whether the client may have left behind input that its session has yet to read. The session ends the
+// attempt if there is too much of it.
+bool BackendPool::Connection::MayHaveLostClient() const {
+  return attempt_.requester && attempt_.requester->CheckClient() == ClientState::kUnknown;
+}
+
+void BackendPool::Connection::PostponeBegin() {
+  was_postponed_ = true;
+  SetTimer(LatestBegin());
   asio::post(pool_->io_, [self = shared_from_this(), number = attempt_number_] {
     if (self->state_ != State::kStarting || self->attempt_number_ != number) return;
     self->RunStep([&connection = *self] { connection.Begin(); });
   });
 }
 
+// Checks the client again after a short time.
+void BackendPool::Connection::AwaitClient() {
+  was_postponed_ = true;
+  SetTimer(std::min(LatestBegin(), pool_->clock_.Now() + kClientCheckInterval));
+  awaits_client_ = true;
+}
+
 // Decides, just before the first byte is written, whether the attempt may still be sent: connecting may have
 // been slow, this process may have been descheduled, and the client may have disconnected without the event
 // having been handled yet. Returns nullopt if the attempt may be sent, otherwise its outcome.
 std::optional<Outcome> BackendPool::Connection::OutcomeIfNotSendable(TimePoint now) const {
   if (!pool_->AcceptsRequests(backend_, address_)) return Outcome::kConnectFailed;
-  if (now >= attempt_.deadline || now >= attempt_.begin_before) return Outcome::kConnectFailed;
-  if (attempt_.requester && attempt_.requester->HasDisconnected()) return Outcome::kNotSent;
+  if (now >= LatestBegin()) return Outcome::kConnectFailed;
+  if (attempt_.requester && attempt_.requester->CheckClient() == ClientState::kDisconnected)
+    return Outcome::kNotSent;
   return std::nullopt;
 }
 
@@ -96,7 +117,7 @@
   http::async_write(socket_, message_, WriteHandler(shared_from_this()));
   write_started_ = true;
   // The backend runs the request once it has received the last byte, so the timer bounds the whole write.
-  SetTimer(std::min(attempt_.deadline, attempt_.begin_before));
+  SetTimer(LatestBegin());
   ParseOrRead();
 }
 
--- a/src/proxy/backend_connection.cpp
+++ b/src/proxy/backend_connection.cpp
@@ -144,6 +144,7 @@
     case State::kIdle:
       return Close();
     case State::kStarting:
+      if (std::exchange(awaits_client_, false) && pool_->clock_.Now() < LatestBegin()) return Begin();
       return End(Outcome::kConnectFailed);
     case State::kWriting:
     case State::kAwaitingResponse:
--- a/src/proxy/backend_connection.h
+++ b/src/proxy/backend_connection.h
@@ -5,6 +5,7 @@
 #ifndef BADGERBRIDGE_PROXY_BACKEND_CONNECTION_H_
 #define BADGERBRIDGE_PROXY_BACKEND_CONNECTION_H_
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/error.hpp>
 #include <cstddef>
@@ -110,10 +111,16 @@
   void OnTimer();
   void CloseSocket();
 
+  // When the attempt must have begun.
+  TimePoint LatestBegin() const { return std::min(attempt_.deadline, attempt_.begin_before); }
+
   // The attempt before its first byte.
   void SetAttempt(Attempt attempt);
   void Begin();
+  bool MayReceiveEndpointList();
+  bool MayHaveLostClient() const;
   void PostponeBegin();
+  void AwaitClient();
   std::optional<Outcome> OutcomeIfNotSendable(TimePoint now) const;
 
   // Sending the request and reading the response.
@@ -147,8 +154,10 @@
   Attempt attempt_;
   std::uint64_t attempt_number_ = 0;
   TimePoint attempt_started_at_{};
-  int postponed_iterations_ = 0;    // iterations of the event loop that the attempt has waited
-  int iterations_to_postpone_ = 0;  // iterations that it still has to wait
+  bool was_postponed_ = false;      // the attempt has waited for an endpoint list or for its client
+  bool awaits_client_ = false;      // the timer checks again whether the client is connected
+  int postponed_iterations_ = 0;    // iterations that it has waited for an endpoint list
+  int iterations_to_postpone_ = 0;  // iterations that it still has to wait for one
   bool write_started_ = false;      // the write of the current attempt
   bool write_pending_ = false;      // started and not ended
   Outcome outcome_if_written_ = Outcome::kUnknown;          // in kAborting, if the last byte was written
--- a/src/proxy/listener.h
+++ b/src/proxy/listener.h
@@ -106,7 +106,7 @@
   net::OneShotTimer stop_timer_;
   net::OneShotTimer accept_pause_;
   net::OneShotTimer drain_sweep_;
-  std::array<char, 16384> discard_buffer_;  // scratch buffer of all sessions for input that they discard
+  std::array<char, 65536> discard_buffer_;  // scratch buffer of all sessions for input that they discard
   SessionList sessions_;
   bool draining_ = false;
   TimePoint last_request_at_{};  // when a request was last accepted, or when the drain began
--- a/src/proxy/requester.h
+++ b/src/proxy/requester.h
@@ -18,6 +18,13 @@
   Duration retry_after{0};   ///< value of Retry-After; 0 for no such header
 };
 
+/// What a client's connection tells about the client.
+enum class ClientState {
+  kConnected,     ///< the client has not closed the connection
+  kDisconnected,  ///< the client has closed or reset the connection
+  kUnknown,       ///< the client sends so much that its close may be held back behind unread input
+};
+
 /// Receives the answer to one request at a time.
 class Requester {
  public:
@@ -28,8 +35,9 @@
 
   /// Checks the socket for whether the client has closed or reset the connection, even if that event has not
   /// been handled yet. If so, the caller doesn't begin an attempt, and Proxy::ClientDisconnected follows from
-  /// the event loop.
-  virtual bool HasDisconnected() noexcept = 0;
+  /// the event loop. ClientState::kUnknown lasts for a bounded amount of input; the caller checks again
+  /// later.
+  virtual ClientState CheckClient() noexcept = 0;
 };
 
 }  // namespace badgerbridge::proxy
--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -28,11 +28,14 @@
 // The linger time is extended at most this often while a close would reset the connection, because bytes are
 // unread, before the client has received its answer.
 constexpr int kMaxLingerExtensions = 3;
+// For input that a client's system holds back to arrive after the proxy has read what was before it.
+constexpr Duration kMaxBacklogGap{20};
+// An attempt may begin as long after the client has left.
+constexpr Duration kMaxUnseenAbsence{50};
 
 }  // namespace
 
-Session::Session(Listener& listener)
-    : listener_(listener), socket_(listener.io_), timer_(listener.io_), discard_pause_(listener.io_) {}
+Session::Session(Listener& listener) : listener_(listener), socket_(listener.io_), timer_(listener.io_) {}
 
 void Session::Adopt(const tcp& protocol, int descriptor) { socket_.assign(protocol, descriptor); }
 
@@ -122,7 +125,6 @@
   const State former = std::exchange(state_, State::kClosed);
   if (former == State::kLingering) listener_.sessions_.RemoveLingering();
   timer_.Disarm();
-  discard_pause_.Disarm();
   beast::error_code ignored;
   socket_.close(ignored);
   try {
@@ -173,15 +175,26 @@
   AwaitInput();
 }
 
-bool Session::HasDisconnected() noexcept {
-  if (state_ == State::kClosed) return true;
-  if (!net::PeerHasClosed(socket_)) return false;
+// Whether the client may have left for longer than an attempt may begin after it, with its close held back
+// behind the input that it has sent after its request.
+bool Session::MayHideDisconnect() {
+  NoteBacklog();
+  const TimePoint now = listener_.clock_.Now();
+  const bool has_backlog = last_backlog_at_ && now - *last_backlog_at_ < kMaxBacklogGap;
+  return has_backlog && now - request_began_at_ >= kMaxUnseenAbsence;
+}
+
+ClientState Session::CheckClient() noexcept {
+  if (state_ == State::kClosed) return ClientState::kDisconnected;
+  if (!net::PeerHasClosed(socket_)) {
+    return MayHideDisconnect() ? ClientState::kUnknown : ClientState::kConnected;
+  }
   try {
     asio::post(listener_.io_, [self = shared_from_this()] { self->Close(); });
   } catch (const std::exception&) {
     // The pending wait for input detects the disconnect as well.
   }
-  return true;
+  return ClientState::kDisconnected;
 }
 
 void Session::OnTimer() {
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -24,6 +24,7 @@
 #include <chrono>
 #include <exception>
 #include <memory>
+#include <optional>
 
 #include "net/one_shot_timer.h"
 #include "proxy/answer_buffer.h"
@@ -100,7 +101,7 @@
 
   /// Writes the answer to the client, unless the connection is closed.
   void OnAnswer(Answer answer) noexcept override;
-  bool HasDisconnected() noexcept override;
+  ClientState CheckClient() noexcept override;
 
  private:
   enum class State {
@@ -146,6 +147,9 @@
   bool ReadSome();
   void ReadAllUnread();
   void DiscardSome();
+  void OnTooMuchDiscarded();
+  void NoteBacklog();
+  bool MayHideDisconnect();
   void CheckForClose();
   void AwaitHangup();
   void BeginRequest();
@@ -154,7 +158,7 @@
 
   // session_request.cpp: validates complete requests and adds them to the request table.
   void ServeNext();
-  RequestResult<void> Serve(ClientRequest& request, TimePoint began_at);
+  RequestResult<void> Serve(ClientRequest& request);
   RequestResult<void> ServeReady(const ClientRequest& request);
   void BeginServing(ClientRequest& request, ValidRequest& valid);
 
@@ -169,8 +173,7 @@
 
   Listener& listener_;
   boost::asio::ip::tcp::socket socket_;
-  net::OneShotTimer timer_;          // timeout of the current state
-  net::OneShotTimer discard_pause_;  // limits the rate of discarding input
+  net::OneShotTimer timer_;  // timeout of the current state
   SessionList::Position position_;
   State state_ = State::kAwaitingFirst;
   InputMode input_mode_ = InputMode::kParse;
@@ -184,7 +187,10 @@
   AnswerBuffer answer_;
   bool keep_alive_after_answer_ = false;
 
-  std::size_t discarded_bytes_ = 0;  // since lingering or discarding began
+  std::size_t discarded_bytes_ = 0;  // since discarding or lingering began
+  TimePoint request_began_at_{};     // when the first byte of the request that is served arrived
+  // When much input behind that request was last unread.
+  std::optional<TimePoint> last_backlog_at_;
   int linger_extensions_ = 0;
 };
 
--- a/src/proxy/session_read.cpp
+++ b/src/proxy/session_read.cpp
@@ -16,8 +16,13 @@
 
 namespace {
 
-constexpr std::size_t kMaxDiscardedBytes = 256 << 10;  // before discarding slows down or stops
-constexpr std::chrono::milliseconds kDiscardPause{2};
+// More than the systems of a client and this proxy buffer for one connection by default: a client that has
+// closed the connection can't have sent more.
+constexpr std::size_t kMaxDiscardedWhileServing = 16 << 20;
+constexpr std::size_t kMaxDiscardedWhileLingering = 256 << 10;
+// Less than the receive window of a connection. With fewer bytes unread the window is open, so that a close
+// of the client would have arrived with them.
+constexpr std::size_t kMinBacklogBytes = 16 << 10;
 
 }  // namespace
 
@@ -51,6 +56,7 @@
 
 // False if there was no input, or the client has disconnected.
 bool Session::ReadSome() {
+  NoteBacklog();
   if (input_.is_full()) {
     input_.SetOverflowed();
     input_mode_ = InputMode::kDiscard;
@@ -79,20 +85,35 @@
   }
 }
 
-// The body of a rejected request may be large, so a lingering session stops reading at a limit. A session
-// with an unanswered request reads on at a low rate, because the client's close may follow the discarded
-// input.
+// Input behind a request that is served is read without a pause: the client's close may be held back behind
+// it, and no attempt may begin once the client has left.
 void Session::DiscardSome() {
+  NoteBacklog();
   beast::error_code error;
   const std::size_t bytes = socket_.read_some(asio::buffer(listener_.discard_buffer_), error);
   if (error == asio::error::would_block) return AwaitInput();
   if (error) return Close();  // the client has disconnected
   discarded_bytes_ += bytes;
-  if (discarded_bytes_ <= kMaxDiscardedBytes) return AwaitInput();
+  const bool is_lingering = state_ == State::kLingering;
+  const std::size_t max_bytes = is_lingering ? kMaxDiscardedWhileLingering : kMaxDiscardedWhileServing;
+  if (discarded_bytes_ > max_bytes) return OnTooMuchDiscarded();
+  AwaitInput();
+}
+
+// A client that never stops sending keeps the proxy from seeing whether it has left, so its request gets no
+// further attempt and is failed. An answer that is being written is followed by lingering.
+void Session::OnTooMuchDiscarded() {
   if (state_ == State::kLingering) return AwaitHangup();
-  discard_pause_.ArmAfter(kDiscardPause, [self = shared_from_this()] {
-    self->Guarded([&session = *self] { session.AwaitInput(); });
-  });
+  if (state_ != State::kServing) return;
+  listener_.proxy_.ClientDisconnected(std::exchange(request_, 0));
+  Reject(RequestError::kPipelineOverflow);
+}
+
+// While a request is served, records whether so much is unread behind it that the client's close can't
+// arrive.
+void Session::NoteBacklog() {
+  if (state_ != State::kServing || net::UnreadBytes(socket_) < kMinBacklogBytes) return;
+  last_backlog_at_ = listener_.clock_.Now();
 }
 
 // Input that arrives after the shutdown stays in the kernel.
--- a/src/proxy/session_request.cpp
+++ b/src/proxy/session_request.cpp
@@ -17,12 +17,13 @@
   timer_.Disarm();
   client_keeps_alive_ = input_.KeepsAlive();
   ClientRequest request = input_.Release();
-  const TimePoint began_at = input_.began_at();
+  request_began_at_ = input_.began_at();
+  last_backlog_at_.reset();
   input_.Reset();
   // After a request with `Connection: close` the client must not send another one; further input is dropped.
   if (!client_keeps_alive_) input_mode_ = InputMode::kDiscard;
   try {
-    if (const auto served = Serve(request, began_at); !served) Reject(served.error());
+    if (const auto served = Serve(request); !served) Reject(served.error());
   } catch (const std::exception& error) {
     // The request is not in the table.
     std::cerr << "failed to accept a client request; answering it with 500: " << error.what() << '\n';
@@ -30,11 +31,11 @@
   }
 }
 
-RequestResult<void> Session::Serve(ClientRequest& request, TimePoint began_at) {
+RequestResult<void> Session::Serve(ClientRequest& request) {
   if (const auto framing = CheckFraming(request); !framing) return framing.error();
   if (request.target() == "/ready") return ServeReady(request);
   RequestResult<ValidRequest> valid =
-      listener_.validator_.Validate(request, began_at, listener_.stop_schedule_.AnswerDeadline());
+      listener_.validator_.Validate(request, request_began_at_, listener_.stop_schedule_.AnswerDeadline());
   if (!valid) return valid.error();
   // The last check, so that only ids of accepted requests are kept.
   if (!listener_.recent_ids_.Add(valid->correlation_id, listener_.clock_.Now()))
