Keep ids of requests that may have run through a flood of others

What callers saw: a client sent a request that must not run twice, left, and sent it again under the same id 1.2 s later, while four others sent small requests under ever new ids at full speed. 115 of 400 such requests ran twice.

Cause: the 32,768 ids that a proxy remembers were dropped oldest first, and every valid request took a place, also one rejected without an attempt. Four clients sent some 60,000 of those a second.

Evidence: the same play with ids repeated within 0.6 s had none twice (409 to 600 of 600), with a flood of either class 115 and 123 of 400 at 1.2 s.

Change: an id is removed with the answer, or the departure of its client, if its request was never passed to a backend; it may come again then. Without room, ids of idempotent requests go first, others are kept for the longest deadline and a second at least, and a request without room gets a 503.

RequestValidationTest: the two new tests failed before, pass. 368 of 368 tests of clients, connections and proxies passed on this tree, in the plain build.

--- a/src/proxy/listener.cpp
+++ b/src/proxy/listener.cpp
@@ -21,6 +21,7 @@
 constexpr milliseconds kEvictionRetryPause{25};  // at max_clients, while no connection can be evicted
 constexpr milliseconds kAcceptRetryPause{20};    // after a failed accept, for example without a descriptor
 constexpr milliseconds kDrainSweepInterval{100};
+constexpr Duration kMinIdRetentionAfterDeadline{1000};  // for a client that repeats its request at once
 
 }  // namespace
 
@@ -34,7 +35,7 @@
       protocol_(config.listen.protocol()),
       limits_(limits),
       stop_schedule_(limits, validator_.longest_deadline()),
-      recent_ids_(limits.max_recent_ids),
+      recent_ids_(limits.max_recent_ids, validator_.longest_deadline() + kMinIdRetentionAfterDeadline),
       acceptor_(io, config.listen, [this](int descriptor) { Admit(descriptor); }),
       stop_timer_(io),
       accept_pause_(io),
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -58,10 +58,13 @@
   return id;
 }
 
-void Proxy::ClientDisconnected(RequestId request) {
-  requests_.erase(request);
+bool Proxy::ClientDisconnected(RequestId request) {
+  const auto found = requests_.find(request);
+  const bool was_attempted = found == requests_.end() || found->second.answer.was_attempted;
+  if (found != requests_.end()) requests_.erase(found);
   table_.ClientDisconnected(clock_.Now(), request, &actions_);
   ProcessActions();
+  return was_attempted;
 }
 
 void Proxy::UpdateList(EndpointListKind kind, const EndpointList& list) {
@@ -135,6 +138,7 @@
   // The client has disconnected since the table added the action, so the attempt is not sent.
   if (request == requests_.end()) return ReportAttemptEnd(attempt, Outcome::kNotSent);
   try {
+    request->second.answer.was_attempted = true;
     if (observer_) observer_->OnAttemptSent(clock_.Now(), action, request->second.submit);
     attempt->second.handle = backends_.Send(
         action.server, request->second.forwarded, action.timeout, action.begin_before,
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -57,8 +57,9 @@
   /// If this throws, the request has not been accepted.
   RequestId Accept(Submit submit, std::shared_ptr<const ForwardedRequest> forwarded,
                    std::shared_ptr<Requester> requester);
-  /// Reports that the client of a request has disconnected; the request gets no answer.
-  void ClientDisconnected(RequestId request);
+  /// Reports that the client of a request has disconnected; the request gets no answer. Returns whether an
+  /// attempt was passed to the backend pool, as Answer::was_attempted.
+  bool ClientDisconnected(RequestId request);
   /// Applies a list, or a change to it.
   void UpdateList(EndpointListKind kind, const EndpointList& list);
   /// Reports that a poll of the endpoint list has failed.
--- a/src/proxy/request_error.cpp
+++ b/src/proxy/request_error.cpp
@@ -38,6 +38,8 @@
       return {400, "X-Correlation-Id is absent or malformed\n"};
     case RequestError::kDuplicateCorrelationId:
       return {409, "this X-Correlation-Id is in use, or was a moment ago\n"};
+    case RequestError::kTooManyRecentIds:
+      return {503, "too many requests lately\n"};
     case RequestError::kIncompleteAtClientLimit:
       return {503, "no room for a request that is not whole\n"};
     case RequestError::kIncompleteAtTimeout:
--- a/src/proxy/request_error.h
+++ b/src/proxy/request_error.h
@@ -26,6 +26,7 @@
   kMalformedWeightHint,          ///< X-Weight-Hint is not a number
   kMalformedCorrelationId,       ///< X-Correlation-Id is absent or malformed
   kDuplicateCorrelationId,       ///< a request with this X-Correlation-Id was accepted recently
+  kTooManyRecentIds,             ///< no room to remember its X-Correlation-Id
   kIncompleteAtClientLimit,      ///< incomplete when its connection was evicted at the client limit
   kIncompleteAtTimeout,          ///< incomplete when the time to receive it expired
   kBodyTooLarge,                 ///< the body exceeds the size limit
--- a/src/proxy/request_validator.cpp
+++ b/src/proxy/request_validator.cpp
@@ -158,6 +158,7 @@
   if (!IsId(valid.correlation_id)) return RequestError::kMalformedCorrelationId;
 
   valid.idempotency_key = HeaderOf(request, "Idempotency-Key");
+  valid.is_idempotent = settings.idempotency == Idempotency::kIdempotent;
   valid.submit.due = std::min(began_at + *time_left, latest_due);
   valid.submit.client_retry = HeaderOf(request, "X-Repeat") == "1";
   valid.submit.key = ObjectKey(*url);
--- a/src/proxy/request_validator.h
+++ b/src/proxy/request_validator.h
@@ -23,6 +23,7 @@
   std::string_view correlation_id;   ///< id of the request
   std::string_view idempotency_key;  ///< empty if the class uses none
   std::string_view account;          ///< name of the tenant; empty if no tenants are configured
+  bool is_idempotent = false;        ///< of the class
 };
 
 /// Checks the headers that determine the body length, and that no header which must be unique is repeated. If
--- a/src/proxy/requester.h
+++ b/src/proxy/requester.h
@@ -12,10 +12,11 @@
 
 /// The final answer to a request.
 struct Answer {
-  unsigned status = 500;     ///< HTTP status code
-  std::string body;          ///< may be empty
-  std::string content_type;  ///< empty for no Content-Type header
-  Duration retry_after{0};   ///< value of Retry-After; 0 for no such header
+  unsigned status = 500;       ///< HTTP status code
+  std::string body;            ///< may be empty
+  std::string content_type;    ///< empty for no Content-Type header
+  Duration retry_after{0};     ///< value of Retry-After; 0 for no such header
+  bool was_attempted = false;  ///< whether an attempt was passed to the backend pool
 };
 
 /// What a client's connection tells about the client.
--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -128,13 +128,20 @@
   beast::error_code ignored;
   socket_.close(ignored);
   try {
-    if (former == State::kServing) listener_.proxy_.ClientDisconnected(std::exchange(request_, 0));
+    if (former == State::kServing) WithdrawRequest();
   } catch (const std::exception& error) {
     std::cerr << "failed to report a client disconnect to the request table: " << error.what() << '\n';
   }
   listener_.Remove(position_);
 }
 
+// Takes the request out of the request table. If none of its attempts was begun, the client may send it
+// again.
+void Session::WithdrawRequest() {
+  const bool was_attempted = listener_.proxy_.ClientDisconnected(std::exchange(request_, 0));
+  if (!was_attempted) listener_.recent_ids_.Remove(correlation_id_);
+}
+
 void Session::ShutdownIfIdle() noexcept {
   Guarded([this] {
     const bool between_requests = state_ == State::kAwaitingFirst || state_ == State::kIdle;
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -30,6 +30,7 @@
 #include "proxy/answer_buffer.h"
 #include "proxy/client_request.h"
 #include "proxy/listener.h"
+#include "proxy/recent_ids.h"
 #include "proxy/request_error.h"
 #include "proxy/request_input.h"
 #include "proxy/request_validator.h"
@@ -148,6 +149,7 @@
   void ReadAllUnread();
   void DiscardSome();
   void OnTooMuchDiscarded();
+  void WithdrawRequest();
   void NoteBacklog();
   bool MayHideDisconnect();
   void CheckForClose();
@@ -160,6 +162,7 @@
   void ServeNext();
   RequestResult<void> Serve(ClientRequest& request);
   RequestResult<void> ServeReady(const ClientRequest& request);
+  RequestResult<void> RememberId(const ValidRequest& valid);
   void BeginServing(ClientRequest& request, ValidRequest& valid);
 
   // session_write.cpp: writes answers.
@@ -182,8 +185,9 @@
   TimePoint state_since_{};
 
   RequestInput input_;
-  bool client_keeps_alive_ = true;  // as the last request asked; false after a rejection
-  RequestId request_ = 0;           // id in the request table; 0 if none
+  bool client_keeps_alive_ = true;        // as the last request asked; false after a rejection
+  RequestId request_ = 0;                 // id in the request table; 0 if none
+  RecentIds::IdHash correlation_id_ = 0;  // of the last request added to the request table
   AnswerBuffer answer_;
   bool keep_alive_after_answer_ = false;
 
--- a/src/proxy/session_read.cpp
+++ b/src/proxy/session_read.cpp
@@ -105,7 +105,7 @@
 void Session::OnTooMuchDiscarded() {
   if (state_ == State::kLingering) return AwaitHangup();
   if (state_ != State::kServing) return;
-  listener_.proxy_.ClientDisconnected(std::exchange(request_, 0));
+  WithdrawRequest();
   Reject(RequestError::kPipelineOverflow);
 }
 
--- a/src/proxy/session_request.cpp
+++ b/src/proxy/session_request.cpp
@@ -38,12 +38,25 @@
       listener_.validator_.Validate(request, request_began_at_, listener_.stop_schedule_.AnswerDeadline());
   if (!valid) return valid.error();
   // The last check, so that only ids of accepted requests are kept.
-  if (!listener_.recent_ids_.Add(valid->correlation_id, listener_.clock_.Now()))
-    return RequestError::kDuplicateCorrelationId;
+  if (const auto remembered = RememberId(*valid); !remembered) return remembered.error();
   BeginServing(request, *valid);
   return {};
 }
 
+RequestResult<void> Session::RememberId(const ValidRequest& valid) {
+  const RecentIds::IdHash id = RecentIds::HashOf(valid.correlation_id);
+  switch (listener_.recent_ids_.Add(id, valid.is_idempotent, listener_.clock_.Now())) {
+    case RecentIds::AddResult::kAdded:
+      correlation_id_ = id;
+      return {};
+    case RecentIds::AddResult::kDuplicate:
+      return RequestError::kDuplicateCorrelationId;
+    case RecentIds::AddResult::kFull:
+      return RequestError::kTooManyRecentIds;
+  }
+  return RequestError::kInternal;
+}
+
 RequestResult<void> Session::ServeReady(const ClientRequest& request) {
   if (request.method() != http::verb::get) return RequestError::kReadyMethodNotAllowed;
   const bool ready = !listener_.stopping() && !listener_.draining() && listener_.proxy_.CanServe();
--- a/src/proxy/session_write.cpp
+++ b/src/proxy/session_write.cpp
@@ -24,6 +24,7 @@
 void Session::OnAnswer(Answer answer) noexcept {
   if (state_ == State::kClosed) return;
   request_ = 0;
+  if (!answer.was_attempted) listener_.recent_ids_.Remove(correlation_id_);
   BeginAnswer(answer);
 }
 
--- a/tests/proxy/request_validation_test.cpp
+++ b/tests/proxy/request_validation_test.cpp
@@ -104,6 +104,45 @@
       << "the newest id is kept";
 }
 
+// A request that has no time left when it comes, and so is rejected without an attempt.
+std::string Expired(std::string request) {
+  const std::string time_left = "X-Time-Left-Ms: 900";
+  return request.replace(request.find(time_left), time_left.size(), "X-Time-Left-Ms: 0");
+}
+
+// Guards against a request that ran twice: while it was executing, its client left, others sent so many
+// requests that its id was forgotten, and the client sent it again.
+TEST_F(RequestValidationTest, AnIdOfAClientThatLeftIsKeptWhateverOthersSend) {
+  Peer busy(io, [](Wire&) {});
+  ListenerLimits limits;
+  limits.max_recent_ids = 8;
+  node = std::make_unique<Node>(io, TestConfig({EndpointJson("a", busy.address())}), limits);
+  const auto client = node->Connect();
+  client->Send(Post("left", "certify", "END"));
+  ASSERT_TRUE(RunUntil(io, [&] { return busy.requests.size() == 1; }));
+  client->Close();
+  ASSERT_TRUE(RunUntil(io, [&] { return node->listener.connections() == 0; }));
+  const auto other = node->Connect();
+  for (int i = 0; i < 30; ++i) {
+    other->Send(Expired(Get("get-" + std::to_string(i))) +
+                Expired(Post("post-" + std::to_string(i), "certify", "END")));
+    ASSERT_TRUE(RunUntil(io, [&] { return CountOf(other->in, "HTTP/1.1 503 ") == 2 * (i + 1); }))
+        << other->in;
+  }
+  EXPECT_EQ(node->listener.recent_ids(), 1u) << "rejected requests take no room";
+  EXPECT_EQ(node->Ask(Post("left", "certify", "END")).rfind("HTTP/1.1 409 ", 0), 0u);
+  EXPECT_EQ(busy.requests.size(), 1u);
+}
+
+// A client whose request was never sent to a backend may send it again.
+TEST_F(RequestValidationTest, AnIdWithoutAnAttemptMayComeAgain) {
+  Peer backend(io, [](Wire& wire) { wire.Send(Reply(200)); });
+  Start({EndpointJson("a", backend.address())});
+  EXPECT_EQ(node->Ask(Expired(Post("c", "certify", "END"))).rfind("HTTP/1.1 503 ", 0), 0u);
+  EXPECT_TRUE(IsServed(node->Ask(Post("c", "certify", "END"))));
+  EXPECT_EQ(backend.requests.size(), 1u);
+}
+
 // Of a rejected 60 MB body, only the beginning is read.
 TEST_F(RequestValidationTest, OnlyALittleIsReadOfABodyThatIsTooLarge) {
   Start({});
