Keep a keyed retry in the group of the process that may have run it

What callers saw: a keyed request took effect a second time, in another deduplication group, when its backend was replaced under the same name by a process of another group between the first attempt and the retry.

Cause: PermissionFor looked up the first attempt's backend in the list of the moment of the retry, and took the group that this name had then.

Change: the group is recorded with the attempt when it is sent. The list is not needed for the permission any more.

Evidence: AttemptPermission.KeyedRetry_StaysInTheGroupOfTheProcessThatMayHaveRun failed before (the retry went to the new group), passes.

--- a/src/balancer/attempt_permission.cpp
+++ b/src/balancer/attempt_permission.cpp
@@ -16,8 +16,7 @@
   return outcome == Outcome::kRejected || outcome == Outcome::kConnectFailed || outcome == Outcome::kNotSent;
 }
 
-AttemptPermission PermissionFor(const Request& request, const Settings& settings, const BackendList& backends,
-                                TimePoint now) {
+AttemptPermission PermissionFor(const Request& request, const Settings& settings, TimePoint now) {
   AttemptPermission permission;
   if (request.finished || request.streaming) return permission;
   permission.may_dispatch = now < request.deadline &&
@@ -33,16 +32,14 @@
   permission.may_reject = request_class.idempotency == Idempotency::kIdempotencyKey &&
                           request_class.deduplication_scope == DeduplicationScope::kAll;
   permission.begin_before = first_run->sent_at + request_class.deduplication_window * kUsableShareOfWindow;
-  const Backend* const first_backend = backends.Find(first_run->backend);
-  if (request_class.idempotency == Idempotency::kNotIdempotent || now >= permission.begin_before ||
-      first_backend == nullptr) {
+  if (request_class.idempotency == Idempotency::kNotIdempotent || now >= permission.begin_before)
     permission.may_dispatch = false;
-  }
-  if (permission.may_dispatch) permission.deduplicated_with = first_backend;
+  if (permission.may_dispatch) permission.deduplicated_with = first_run->group;
   return permission;
 }
 
-bool SharesDeduplication(DeduplicationScope scope, const BackendEntry& first, const BackendEntry& backend) {
+bool SharesDeduplication(DeduplicationScope scope, const DeduplicationGroup& first,
+                         const BackendEntry& backend) {
   switch (scope) {
     case DeduplicationScope::kAll:
       return true;
--- a/src/balancer/attempt_permission.h
+++ b/src/balancer/attempt_permission.h
@@ -4,8 +4,9 @@
 #ifndef BADGERBRIDGE_BALANCER_ATTEMPT_PERMISSION_H_
 #define BADGERBRIDGE_BALANCER_ATTEMPT_PERMISSION_H_
 
+#include <optional>
+
 #include "badgerbridge/balancer.h"
-#include "balancer/backend_list.h"
 #include "balancer/request.h"
 
 namespace badgerbridge::balancer {
@@ -16,8 +17,8 @@
   bool may_dispatch = false;
   /// The request may be rejected: no backend has processed it, or processing it again is safe.
   bool may_reject = false;
-  /// If not null: only backends that share deduplication with this one are permitted.
-  const Backend* deduplicated_with = nullptr;
+  /// If set: only backends that share deduplication with this group are permitted.
+  std::optional<DeduplicationGroup> deduplicated_with;
   /// The attempt must start before this time, while the backends remember the idempotency key.
   TimePoint begin_before = TimePoint::max();
 };
@@ -25,13 +26,12 @@
 /// Whether an outcome proves that the backend did not process the attempt.
 bool ProvesNotRun(Outcome outcome);
 
-/// The permission for a request at `now`; all decisions on attempts and answers use it. `backends` is
-/// used to look up the backend of its first attempt that may have run.
-AttemptPermission PermissionFor(const Request& request, const Settings& settings, const BackendList& backends,
-                                TimePoint now);
+/// The permission for a request at `now`; all decisions on attempts and answers use it.
+AttemptPermission PermissionFor(const Request& request, const Settings& settings, TimePoint now);
 
-/// Whether `backend` drops a retry of a request that `first` may have processed.
-bool SharesDeduplication(DeduplicationScope scope, const BackendEntry& first, const BackendEntry& backend);
+/// Whether `backend` drops a retry of a request that a backend of the group `first` may have processed.
+bool SharesDeduplication(DeduplicationScope scope, const DeduplicationGroup& first,
+                         const BackendEntry& backend);
 
 }  // namespace badgerbridge::balancer
 
--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -194,7 +194,7 @@
 
   // Dispatches, queues or finishes the request; returns whether it was dispatched.
   bool TryDispatch(Request& request) {
-    const AttemptPermission permission = PermissionFor(request, settings_, backends_, now_);
+    const AttemptPermission permission = PermissionFor(request, settings_, now_);
     Backend* const backend = permission.may_dispatch ? SelectBackend(request, permission) : nullptr;
     if (backend != nullptr) {
       queue_.Dequeue(request);
@@ -243,6 +243,7 @@
     zone_quotas_.Spend(backend.endpoint.zone, request.work_ms);
     backend.slow_start.sent.Add(now_, request.work_ms);
     request.attempts.push_back({.backend = backend.endpoint.server,
+                                .group = {backend.endpoint.zone, backend.endpoint.cell},
                                 .sent_at = now_,
                                 .previous_sent_at = std::exchange(responsiveness.last_sent_at, now_),
                                 .slow_start_tokens_used = std::exchange(backend.slow_start.tokens, 0)});
@@ -261,7 +262,7 @@
 
   // Retries after a failed attempt where permitted; a retry that adds load needs a token of the retry budget.
   void Retry(Request& request, bool adds_load) {
-    const bool may_dispatch = PermissionFor(request, settings_, backends_, now_).may_dispatch;
+    const bool may_dispatch = PermissionFor(request, settings_, now_).may_dispatch;
     if (!may_dispatch || (adds_load && !retry_budget_.HasToken())) {
       Finish(request, Duration(0));
       return;
@@ -274,7 +275,7 @@
 
   // Rejects the request where permitted, otherwise fails it.
   void Finish(Request& request, Duration retry_after) {
-    const bool may_reject = PermissionFor(request, settings_, backends_, now_).may_reject;
+    const bool may_reject = PermissionFor(request, settings_, now_).may_reject;
     if (log_throttle_.Permits(LogTopic::kFinalAnswer, now_)) {
       const std::string last = request.attempts.empty()
                                    ? "cannot be answered in time"
--- a/src/balancer/request.h
+++ b/src/balancer/request.h
@@ -12,9 +12,16 @@
 
 namespace badgerbridge::balancer {
 
+/// Where a backend stands among those that share their deduplication of idempotency keys.
+struct DeduplicationGroup {
+  int zone = 0;  ///< Zone index.
+  int cell = 0;  ///< Cell within the zone.
+};
+
 /// One dispatch of a request to a backend.
 struct Attempt {
   BackendId backend = 0;              ///< Target backend.
+  DeduplicationGroup group;           ///< Of the backend when it was sent; another process may follow it.
   TimePoint sent_at{};                ///< Time of its dispatch.
   TimePoint previous_sent_at{};       ///< When the previous attempt was sent to this backend.
   double slow_start_tokens_used = 0;  ///< Tokens taken from the backend's slow-start bucket.
--- a/src/balancer/selection.cpp
+++ b/src/balancer/selection.cpp
@@ -28,11 +28,8 @@
   for (std::size_t visited = 0; visited < ring.size(); ++visited, ++index) {
     if (index >= ring.size()) index -= ring.size();
     Backend& backend = *ring[index];
-    const Backend* const first = permission.deduplicated_with;
-    if (first != nullptr &&
-        !SharesDeduplication(request_class.deduplication_scope, first->endpoint, backend.endpoint)) {
-      continue;
-    }
+    const std::optional<DeduplicationGroup>& group = permission.deduplicated_with;
+    if (group && !SharesDeduplication(request_class.deduplication_scope, *group, backend.endpoint)) continue;
     if (!zone_quotas_.HasCapacity(backend.endpoint.zone, reserved_share, now)) continue;
     const bool tried = request.HasTried(backend.endpoint.server);
     if (slow_start_.WithinBudget(backend, request.work_ms, now, active)) {
--- a/tests/balancer/attempt_permission_test.cpp
+++ b/tests/balancer/attempt_permission_test.cpp
@@ -83,6 +83,24 @@
   }
 }
 
+// Guards against a request that ran twice: a new process had taken the name and address of the one that may
+// have run the request, in another group, and the retry followed it there, where the key is unknown.
+TEST(AttemptPermission, KeyedRetry_StaysInTheGroupOfTheProcessThatMayHaveRun) {
+  BalancerHarness harness;
+  harness.UpdateEndpoints({Entry(1, 0, 1), Entry(2, 0, 2)});
+  BackendId first = *harness.SubmitRequest(next_request_id, 1);
+  while (first != 1) {
+    harness.EndAttempt(next_request_id, 0, first, Outcome::kOk);
+    first = *harness.SubmitRequest(++next_request_id, 1);
+  }
+  constexpr double kStartedAtMs = 100;
+  harness.UpdateEndpoints({Entry(1, 0, 2, BackendState::kReady, kStartedAtMs), Entry(3, 0, 1)},
+                          EndpointListKind::kDelta);
+  harness.EndAttempt(next_request_id, 0, first, Outcome::kReset);
+  EXPECT_EQ(harness.SentTo(next_request_id), 3u) << "the other one of the group";
+  ++next_request_id;
+}
+
 // Hedged copies of slow requests cost other requests more capacity than they gained.
 TEST(AttemptPermission, AttemptOutstanding_NoSecondAttemptIsSent) {
   BalancerHarness harness;
