Use no connection or attempt of a process for the next at its address

What callers saw: an attempt that waited for its connection, and idle connections, were passed on when a new process, or one of another deduplication group, took the name and address of the one they were meant for.

Cause: the pool knew a backend by name and address alone.

Change: BackendPool::Instance also has the start, the zone and the cell. On a change of any, idle connections are closed, and an attempt that has not begun ends as not connected, so that the decision module decides anew.

--- a/src/proxy/backend_attempt.cpp
+++ b/src/proxy/backend_attempt.cpp
@@ -98,7 +98,7 @@
 // been slow, this process may have been descheduled, and the client may have disconnected without the event
 // having been handled yet. Returns nullopt if the attempt may be sent, otherwise its outcome.
 std::optional<Outcome> BackendPool::Connection::OutcomeIfNotSendable(TimePoint now) const {
-  if (!pool_->AcceptsRequests(backend_, address_)) return Outcome::kConnectFailed;
+  if (!pool_->AcceptsRequests(backend_, instance_)) return Outcome::kConnectFailed;
   if (now >= LatestBegin()) return Outcome::kConnectFailed;
   if (attempt_.requester && attempt_.requester->CheckClient() == ClientState::kDisconnected)
     return Outcome::kNotSent;
--- a/src/proxy/backend_connection.cpp
+++ b/src/proxy/backend_connection.cpp
@@ -17,8 +17,8 @@
 
 }  // namespace
 
-BackendPool::Connection::Connection(BackendPool& pool, BackendId backend, tcp::endpoint address)
-    : pool_(&pool), backend_(backend), address_(std::move(address)), socket_(pool.io_), timer_(pool.io_) {
+BackendPool::Connection::Connection(BackendPool& pool, BackendId backend, Instance instance)
+    : pool_(&pool), backend_(backend), instance_(std::move(instance)), socket_(pool.io_), timer_(pool.io_) {
   ++pool.open_connections_;
 }
 
@@ -32,7 +32,7 @@
   const Duration time_left = attempt_.deadline - attempt_started_at_;
   SetTimer(attempt_started_at_ +
            std::min(pool_->limits_.connect_timeout, time_left * kMaxConnectFractionOfAttempt));
-  pool_->connector_(socket_, address_, [self = shared_from_this()](beast::error_code error) {
+  pool_->connector_(socket_, instance_.address, [self = shared_from_this()](beast::error_code error) {
     self->RunStep([&] { self->OnConnected(error); });
   });
 }
--- a/src/proxy/backend_connection.h
+++ b/src/proxy/backend_connection.h
@@ -50,12 +50,12 @@
   };
 
   /// Creates an unconnected connection, which counts as open in the pool until Close().
-  Connection(BackendPool& pool, BackendId backend, boost::asio::ip::tcp::endpoint address);
+  Connection(BackendPool& pool, BackendId backend, Instance instance);
 
   /// The backend it belongs to.
   BackendId backend() const { return backend_; }
-  /// The address it was opened to.
-  const boost::asio::ip::tcp::endpoint& address() const { return address_; }
+  /// The process it was opened to.
+  const Instance& instance() const { return instance_; }
   /// When it last became idle.
   TimePoint idle_since() const { return idle_since_; }
   /// The number of the current or last attempt on this connection; unique in the pool.
@@ -144,7 +144,7 @@
 
   BackendPool* pool_;
   const BackendId backend_;
-  const boost::asio::ip::tcp::endpoint address_;
+  const Instance instance_;
   boost::asio::ip::tcp::socket socket_;
   net::OneShotTimer timer_;
   State state_ = State::kStarting;
--- a/src/proxy/backend_pool.cpp
+++ b/src/proxy/backend_pool.cpp
@@ -75,10 +75,12 @@
     backends_.erase(found);
     return;
   }
-  Backend& backend = backends_[endpoint.entry.server];
-  if (endpoint.address != backend.address || endpoint.entry.state != BackendState::kReady) CloseIdle(backend);
-  backend.address = endpoint.address;
-  backend.state = endpoint.entry.state;
+  const BackendEntry& entry = endpoint.entry;
+  const Instance instance{endpoint.address, entry.up_since, entry.zone, entry.cell};
+  Backend& backend = backends_[entry.server];
+  if (instance != backend.instance || entry.state != BackendState::kReady) CloseIdle(backend);
+  backend.instance = instance;
+  backend.state = entry.state;
 }
 
 bool BackendPool::HasReadyBackend() const {
@@ -102,9 +104,9 @@
 
 // Does not use the grace period after a drain: the notification may have been delayed, and an attempt that
 // has not begun can be sent to another backend.
-bool BackendPool::AcceptsRequests(BackendId backend, const tcp::endpoint& address) const {
+bool BackendPool::AcceptsRequests(BackendId backend, const Instance& instance) const {
   const auto found = backends_.find(backend);
-  return found != backends_.end() && found->second.IsReadyAt(address);
+  return found != backends_.end() && found->second.IsReady(instance);
 }
 
 // Removes and returns the most recently used connection that has been idle for long enough; null if none.
@@ -154,7 +156,7 @@
   const TimePoint deadline = clock_.Now() + timeout;
   AttemptCallback deferred = PostedCallback(std::move(on_end));
   const auto found = backends_.find(backend);
-  if (found == backends_.end() || !AcceptsRequests(backend, found->second.address)) {
+  if (found == backends_.end() || !AcceptsRequests(backend, found->second.instance)) {
     deferred({Outcome::kConnectFailed, {}, {}});
     return {};
   }
@@ -164,7 +166,7 @@
   if (connection) {
     connection->Reuse(std::move(attempt));
   } else if (EvictConnection()) {
-    connection = std::make_shared<Connection>(*this, backend, found->second.address);
+    connection = std::make_shared<Connection>(*this, backend, found->second.instance);
     connection->Connect(std::move(attempt));
   } else {
     attempt.on_end({Outcome::kConnectFailed, {}, {}});
@@ -183,7 +185,7 @@
 
 void BackendPool::AddIdle(std::shared_ptr<Connection> connection) {
   const auto found = backends_.find(connection->backend());
-  const bool is_usable = found != backends_.end() && found->second.IsReadyAt(connection->address());
+  const bool is_usable = found != backends_.end() && found->second.IsReady(connection->instance());
   if (!is_usable) return connection->Close();
   std::vector<std::shared_ptr<Connection>>& idle = found->second.idle;
   try {
--- a/src/proxy/backend_pool.h
+++ b/src/proxy/backend_pool.h
@@ -102,12 +102,23 @@
   std::size_t backend_count() const { return backends_.size(); }
 
  private:
+  // The process that a name of the list stands for. Another process may take its place under the same name or
+  // address, in another deduplication group, and has none of its connections and state.
+  struct Instance {
+    bool operator==(const Instance&) const = default;
+
+    boost::asio::ip::tcp::endpoint address;
+    TimePoint up_since{};
+    int zone = 0;
+    int cell = 0;
+  };
+
   struct Backend {
-    bool IsReadyAt(const boost::asio::ip::tcp::endpoint& connection_address) const {
-      return address == connection_address && state == BackendState::kReady;
+    bool IsReady(const Instance& expected) const {
+      return instance == expected && state == BackendState::kReady;
     }
 
-    boost::asio::ip::tcp::endpoint address;
+    Instance instance;
     BackendState state = BackendState::kGone;
     std::vector<std::shared_ptr<Connection>> idle;  // most recently used last
   };
@@ -120,7 +131,7 @@
   AttemptCallback PostedCallback(AttemptCallback on_end);
 
   // Called by Connection.
-  bool AcceptsRequests(BackendId backend, const boost::asio::ip::tcp::endpoint& address) const;
+  bool AcceptsRequests(BackendId backend, const Instance& instance) const;
   void AddIdle(std::shared_ptr<Connection> connection);
   void RemoveIdle(const Connection& connection);
   void CloseIdleSince(BackendId backend, TimePoint before);
--- a/tests/proxy/backend_pool_test.cpp
+++ b/tests/proxy/backend_pool_test.cpp
@@ -49,6 +49,33 @@
   EXPECT_EQ(pool->open_connections(), 0u) << "not kept for the new one";
 }
 
+// Guards against work at the wrong process: one that has started anew, or in another deduplication group, at
+// the address of one that has gone got its connections, and an attempt that was meant for that one.
+TEST_F(BackendPoolTest, AnAttemptOrConnectionOfAProcessIsNotPassedOnToTheNextAtItsAddress) {
+  std::vector<Wire*> waiting;
+  Peer peer(io, [&](Wire& wire) { waiting.push_back(&wire); });
+  for (const bool is_restarted : {true, false}) {
+    StartPool(peer);
+    results.clear();
+    EndpointList next = ListWith(peer.endpoint());
+    if (is_restarted) next.endpoints[0].entry.up_since = TimePoint(Duration(100));
+    if (!is_restarted) next.endpoints[0].entry.cell = 7;
+    const std::size_t before = peer.requests.size();
+    Send();  // answered after the change: its connection is not kept
+    ASSERT_TRUE(RunUntil(io, [&] { return peer.requests.size() == before + 1; }));
+    Send();  // still connecting when the list changes
+    pool->Update(next);
+    waiting.back()->Send(Reply(200));
+    ASSERT_TRUE(RunUntil(io, [&] { return results.size() == 2; }));
+    EXPECT_TRUE(results[0].outcome == Outcome::kConnectFailed ||
+                results[1].outcome == Outcome::kConnectFailed);
+    EXPECT_EQ(peer.requests.size(), before + 1) << "the second attempt was not sent";
+    EXPECT_EQ(pool->open_connections(), 0u);
+    Send();
+    ASSERT_TRUE(RunUntil(io, [&] { return peer.requests.size() == before + 2; })) << "the new one is served";
+  }
+}
+
 // A host that disappears leaves its connections open; a timeout must close the idle ones too.
 TEST_F(BackendPoolTest, ATimeoutClosesConnectionsIdleSinceBeforeTheAttempt) {
   std::vector<Wire*> waiting;
