Count a backend as gone once a later one is listed at its address

What callers saw: while the list still had a backend that was gone, requests for it were done by the new process at its address, keyed ones in another deduplication group than the one that the list gives for the old name.

Cause: discovery is told of a start at once and of an end late, so that two names have one address for seconds. Both were used.

Change: the reader knows which backend started last at an address. Others that started earlier are gone for the proxy. Backends that started at the same time may share one.

Evidence: EndpointListReaderTest.ABackendWhoseAddressALaterOneHasIsGone failed before, passes.

--- a/src/proxy/endpoint_list_reader.h
+++ b/src/proxy/endpoint_list_reader.h
@@ -4,9 +4,11 @@
 #ifndef BADGERBRIDGE_PROXY_ENDPOINT_LIST_READER_H_
 #define BADGERBRIDGE_PROXY_ENDPOINT_LIST_READER_H_
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/json/value.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -28,7 +30,8 @@
 
   /// Decodes a list in discovery's format and assigns ids. Changes nothing on error.
   EndpointListResult<EndpointList> Read(const boost::json::value& value);
-  /// Assigns ids to the backends of a list and removes the names of those that are gone.
+  /// Assigns ids to the backends of a list and removes the names of those that are gone. A backend is gone as
+  /// soon as another one has started later at its address.
   EndpointList Resolve(bool snapshot, std::uint64_t version, const std::vector<ListedEndpoint>& listed);
 
   /// The version of the last list; 0: none.
@@ -43,14 +46,27 @@
   std::string NameOf(BackendId id) const;
 
  private:
+  // A listed backend.
+  struct Known {
+    std::string name;
+    boost::asio::ip::tcp::endpoint address;
+    TimePoint up_since{};
+  };
+
   BackendId IdOf(const std::string& name);
+  Endpoint ToEndpoint(const ListedEndpoint& source);
+  void RemoveReplaced(EndpointList& list);
+  std::optional<BackendId> Occupy(const Endpoint& endpoint);
+  void Vacate(BackendId id);
+  void MarkGone(BackendId id, EndpointList& list) const;
   void RemoveGoneNames(const EndpointList& list);
   void RemoveId(BackendId id);
 
   std::vector<std::string> zones_;
   std::vector<std::string> kinds_;
-  std::unordered_map<BackendId, std::string> names_;
-  std::unordered_map<std::string_view, BackendId> ids_;  // keyed by the names in names_
+  std::unordered_map<BackendId, Known> known_;
+  std::unordered_map<std::string_view, BackendId> ids_;                      // keyed by the names in known_
+  std::unordered_map<boost::asio::ip::tcp::endpoint, BackendId> newest_at_;  // of those at an address
   std::uint64_t version_ = 0;
 };
 
--- a/tests/proxy/endpoint_list_reader_test.cpp
+++ b/tests/proxy/endpoint_list_reader_test.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/json.hpp>
 #include <string>
+#include <vector>
 
 #include "proxy/proxy_harness.h"
 
@@ -47,6 +48,56 @@
   EXPECT_EQ(elsewhere.endpoints[0].entry.server, first.endpoints[1].entry.server);
 }
 
+// The states of the backends of a list, in its order.
+std::vector<BackendState> StatesOf(const EndpointList& list) {
+  std::vector<BackendState> states;
+  for (const Endpoint& endpoint : list.endpoints) states.push_back(endpoint.entry.state);
+  return states;
+}
+
+constexpr const char* kAddress = "127.0.0.1:81";
+constexpr double kEarlierMs = 1000;
+constexpr double kLaterMs = 2000;
+
+// Guards against work at the wrong process: while the list still had one that was gone, requests for it went
+// to the new one at its address.
+TEST_F(EndpointListReaderTest, ABackendWhoseAddressALaterOneHasIsGone) {
+  const auto old = [](const char* status) { return EndpointJson("old", kAddress, status, 1, kEarlierMs); };
+  const std::string added = EndpointJson("new", kAddress, "Ready", 2, kLaterMs);
+  const EndpointList first = Read(ListJson(1, true, {old("Ready")}));
+  const EndpointList change = Read(ListJson(2, false, {added}));
+  ASSERT_EQ(StatesOf(change), (std::vector{BackendState::kReady, BackendState::kGone}));
+  EXPECT_EQ(change.endpoints[1].name, "old");
+  EXPECT_EQ(change.endpoints[1].entry.server, first.endpoints[0].entry.server);
+  for (const char* status : {"Ready", "Terminating", "Gone"}) {
+    EXPECT_EQ(StatesOf(Read(ListJson(3, false, {old(status)}))), std::vector{BackendState::kGone}) << status;
+  }
+  EXPECT_EQ(reader.name_count(), 1u);
+  EXPECT_EQ(StatesOf(Read(ListJson(4, true, {old("Ready"), added}))),
+            (std::vector{BackendState::kGone, BackendState::kReady}));
+  EXPECT_EQ(StatesOf(Read(ListJson(5, true, {added, old("Ready")}))),
+            (std::vector{BackendState::kReady, BackendState::kGone}));
+}
+
+TEST_F(EndpointListReaderTest, AnAddressIsFreeOnceItsBackendIsGoneOrHasMoved) {
+  const std::string old = EndpointJson("old", kAddress, "Ready", 1, kEarlierMs);
+  const std::string added = EndpointJson("new", kAddress, "Ready", 1, kLaterMs);
+  Read(ListJson(1, true, {added}));
+  EXPECT_EQ(StatesOf(Read(ListJson(2, true, {old}))), std::vector{BackendState::kReady}) << "not listed";
+  Read(ListJson(3, true, {added}));
+  Read(ListJson(4, false, {R"({"name":"new","status":"Gone"})"}));
+  EXPECT_EQ(StatesOf(Read(ListJson(5, false, {old}))), std::vector{BackendState::kReady}) << "gone";
+  Read(ListJson(6, true, {added}));
+  Read(ListJson(7, false, {EndpointJson("new", "127.0.0.1:82", "Ready", 1, kLaterMs)}));
+  EXPECT_EQ(StatesOf(Read(ListJson(8, false, {old}))), std::vector{BackendState::kReady}) << "moved";
+}
+
+TEST_F(EndpointListReaderTest, BackendsThatStartedAtTheSameTimeMayShareAnAddress) {
+  const EndpointList list =
+      Read(ListJson(1, true, {EndpointJson("a", kAddress), EndpointJson("b", kAddress)}));
+  EXPECT_EQ(StatesOf(list), (std::vector{BackendState::kReady, BackendState::kReady}));
+}
+
 TEST_F(EndpointListReaderTest, NamesOfGoneBackendsAreRemoved) {
   for (int i = 0; i < 50; ++i) {
     const std::string name = "s-" + std::to_string(i);
