Test that a flood of small requests takes no memory and delays nobody

A test has to show it the next time.

Change: FloodTest sends 20,000 requests of four kinds (expired, expired and unsafe, unsound, /ready) ahead on one connection. Another client's answer may take 100 handlers of the event loop at most, and all allocations stay within the share of two clients.

--- a/tests/proxy/client_memory_test.cpp
+++ b/tests/proxy/client_memory_test.cpp
@@ -49,9 +49,12 @@
   void Pump() {
     ErrorCode error;
     while (!rest_.empty() && !error) rest_.remove_prefix(socket_.write_some(asio::buffer(rest_), error));
+    has_ended_ |= error && error != asio::error::would_block;
     error = {};
     while (reads && !error) received_ += socket_.read_some(asio::buffer(discarded), error);
+    has_ended_ |= error && error != asio::error::would_block;
   }
+  bool has_ended() const { return has_ended_; }
   bool has_sent_all() const { return rest_.empty(); }
   std::size_t received_bytes() const { return received_; }
 
@@ -61,6 +64,7 @@
   tcp::socket socket_;
   std::string_view rest_;
   std::size_t received_ = 0;
+  bool has_ended_ = false;
 };
 
 class ClientMemoryTest : public ::testing::Test {
@@ -306,5 +310,64 @@
   RecordProperty("bytes_per_client", static_cast<int>(peak_bytes_ / kClients));
 }
 
+// Guards against memory that grows and other clients that wait while one client sends small requests at full
+// speed, under ever new names: each took a place among the remembered ids.
+class FloodTest : public ClientMemoryTest, public ::testing::WithParamInterface<const char*> {
+ protected:
+  static constexpr int kRequests = 20000;
+
+  // Small requests on one connection, each with names of its own.
+  static std::string Flood(const std::string& kind) {
+    std::string text;
+    for (int i = 0; i < kRequests; ++i) text += SmallRequest(kind, "flood-" + std::to_string(i));
+    return text;
+  }
+
+  // Runs handlers one at a time until the client has received something.
+  int CountHandlersUntilAnswer(const SilentClient& client, ServingBackend& backend) {
+    constexpr int kMaxSteps = 100000;
+    int handlers = 0;
+    for (int step = 0; step < kMaxSteps && client.received_bytes() == 0; ++step) {
+      backend.Pump();
+      for (const auto& each : clients_) each->Pump();
+      io_.restart();
+      handlers += static_cast<int>(io_.poll_one());
+      peak_bytes_ = std::max(peak_bytes_, AllocatedSinceBaseline());
+    }
+    return client.received_bytes() > 0 ? handlers : kMaxSteps;
+  }
+
+  static std::string SmallRequest(const std::string& kind, const std::string& name) {
+    if (kind == "Unsound") return "GET /" + name + " HTTP/1.1\r\n" + name + ": 1\r\n\r\n";
+    if (kind == "Ready") return "GET /ready HTTP/1.1\r\nHost: h\r\n\r\n";
+    std::string request = kind == "Expired" ? Get(name) : Post(name, "certify", "END");
+    const std::string time_left = "X-Time-Left-Ms: 900";
+    return request.replace(request.find(time_left), time_left.size(), "X-Time-Left-Ms: 0");
+  }
+};
+
+TEST_P(FloodTest, HoldsNoMoreThanItsShareAndDelaysNobody) {
+  constexpr int kMaxHandlersUntilAnswer = 100;
+  constexpr int kMaxRounds = 20;  // of RunUntil(), whose number of handlers is bounded
+  ServingBackend backend(io_, Reply(200, "served"));
+  Start(backend.address());
+  const std::string flood = Flood(GetParam());
+  const std::string request = Get("other");
+  SetBaseline();
+  Connect(flood);
+  ASSERT_LT(CountHandlersUntilAnswer(*clients_[0], backend), kMaxHandlersUntilAnswer);
+  Connect(request);
+  EXPECT_LT(CountHandlersUntilAnswer(*clients_[1], backend), kMaxHandlersUntilAnswer);
+  bool is_all_processed = false;
+  for (int round = 0; round < kMaxRounds && !is_all_processed; ++round)
+    is_all_processed = RunUntil([&] { return clients_[0]->has_sent_all() || clients_[0]->has_ended(); });
+  ASSERT_TRUE(is_all_processed);
+  EXPECT_LE(peak_bytes_, 2 * kMaxBytesPerClient);
+  RecordProperty("peak_bytes", static_cast<int>(peak_bytes_));
+}
+
+INSTANTIATE_TEST_SUITE_P(All, FloodTest, ::testing::Values("Expired", "ExpiredUnsafe", "Unsound", "Ready"),
+                         [](const auto& info) { return std::string(info.param); });
+
 }  // namespace
 }  // namespace badgerbridge::proxy::testing
