Tell a client's second writing after a kill from a repeat by the proxies

Cause, by the trace that the violation has now: the trial's client wrote the request on a kept connection, the proxy forwarded it and was killed, the client wrote it once more under the same id, and the late link proxy connected it to the proxy's next process.

No process can know what a killed one has read.

Change: the verdict counts a repeat as after_kill if the request was written twice, its proxy was killed between the writings, and each had one effect. Everything else is a violation as before, with the course in its line.

Measured: VerdictTest 28 of 28; the new one has each condition alone.

--- a/tests/multiprocess/report.cpp
+++ b/tests/multiprocess/report.cpp
@@ -69,6 +69,8 @@
   if (outcome.verdict.slow_starts > 0) fields += SlowStartFields(outcome.verdict);
   if (!outcome.restart_times_ms.empty()) fields += RestartFields(outcome);
   if (model.multiprocess.raw_clients > 0) fields += StallFields(outcome);
+  if (outcome.verdict.repeats_after_kill > 0)
+    fields += Field("after_kill", outcome.verdict.repeats_after_kill);
   return fields;
 }
 
--- a/tests/multiprocess/verdict.h
+++ b/tests/multiprocess/verdict.h
@@ -63,6 +63,8 @@
   std::uint64_t unjudged = 0;   ///< Lost, but client or link proxy were not run for too long to tell by whom.
   std::uint64_t late = 0;       ///< Answered after its deadline.
   std::uint64_t close_races = 0;  ///< Sent a second time, see CloseRaceRecord.
+  /// Ran a second time because its client wrote it again, under the same id, after its proxy had been killed.
+  std::uint64_t repeats_after_kill = 0;
   /// Attempts that were right when their proxy was stopped while about to send them, and too late when it
   /// was continued.
   std::uint64_t stop_races = 0;
--- a/tests/multiprocess/verdict_test.cpp
+++ b/tests/multiprocess/verdict_test.cpp
@@ -367,6 +367,34 @@
   EXPECT_EQ(other.Check().repeated_effects, 1u);
 }
 
+// Guards against a trial that fails for its own client: it wrote a request again, under the same id, after
+// the proxy that had it was killed, and the proxy's next process can't know of the first.
+TEST(VerdictTest, ARepeatThatTheClientWroteAgainAfterAKillIsNoFault) {
+  constexpr double kWrittenMs = 1000, kFirstEffectMs = 1005, kKilledMs = 1010, kWrittenAgainMs = 1100;
+  TestRun run;
+  run.history.requests[2].first_sent_at_ms = kWrittenMs;
+  run.history.requests[2].sent_at_ms = kWrittenAgainMs;
+  run.AddEffect("r3", "", "c1", kWrittenAgainMs + 5);
+  EXPECT_EQ(run.Check().repeated_effects, 1u) << "no proxy was killed";
+  run.history.disruptions = {{"n1", kKilledMs, 2000, DisruptionKind::kNotListening}};
+  EXPECT_EQ(run.Check().repeated_effects, 1u) << "a planned restart answers what it has";
+  run.history.disruptions = {{"n2", kKilledMs, 2000}};
+  EXPECT_EQ(run.Check().repeated_effects, 1u) << "another proxy";
+  run.history.disruptions = {{"n1", kWrittenAgainMs + 1, 2000}};
+  EXPECT_EQ(run.Check().repeated_effects, 1u) << "killed after the second writing";
+  run.history.disruptions = {{"n1", kKilledMs, 2000}};
+  EXPECT_EQ(run.Check().repeated_effects, 0u);
+  EXPECT_EQ(run.Check().repeats_after_kill, 1u);
+  TestRun before = run;
+  before.AddEffect("r3", "", "c3", kFirstEffectMs + 1);
+  EXPECT_EQ(before.Check().repeated_effects, 1u) << "two effects of the first writing";
+  TestRun after = run;
+  after.AddEffect("r3", "", "c3", kWrittenAgainMs + 50);
+  EXPECT_EQ(after.Check().repeated_effects, 1u) << "two effects of the second writing";
+  run.history.requests[2].first_sent_at_ms = kWrittenAgainMs;
+  EXPECT_EQ(run.Check().repeated_effects, 1u) << "written once";
+}
+
 TEST(VerdictTest, ARejectionOfARequestThatRanIsFound) {
   TestRun run;
   run.history.requests[2].outcome = RequestOutcome::kRejected;
