Read input behind a request at a limited rate again, 64 KiB every 2 ms

Cause: read such input without a pause, up to 16 MiB a connection, so that the flood took 15 times the bandwidth.

Change: past 256 KiB 64 KiB are read every 2 ms, and a client that sends over 4 MiB behind its requests is failed. Whether an attempt may begin does not depend on that rate: it waits while CheckClient() can't tell.

--- a/src/proxy/endpoint_list_reader.h
+++ b/src/proxy/endpoint_list_reader.h
@@ -4,7 +4,6 @@
 #ifndef BADGERBRIDGE_PROXY_ENDPOINT_LIST_READER_H_
 #define BADGERBRIDGE_PROXY_ENDPOINT_LIST_READER_H_
 
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/json/value.hpp>
 #include <cstddef>
 #include <cstdint>
--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -35,7 +35,8 @@
 
 }  // namespace
 
-Session::Session(Listener& listener) : listener_(listener), socket_(listener.io_), timer_(listener.io_) {}
+Session::Session(Listener& listener)
+    : listener_(listener), socket_(listener.io_), timer_(listener.io_), discard_pause_(listener.io_) {}
 
 void Session::Adopt(const tcp& protocol, int descriptor) { socket_.assign(protocol, descriptor); }
 
@@ -125,6 +126,7 @@
   const State former = std::exchange(state_, State::kClosed);
   if (former == State::kLingering) listener_.sessions_.RemoveLingering();
   timer_.Disarm();
+  discard_pause_.Disarm();
   beast::error_code ignored;
   socket_.close(ignored);
   try {
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -176,7 +176,8 @@
 
   Listener& listener_;
   boost::asio::ip::tcp::socket socket_;
-  net::OneShotTimer timer_;  // timeout of the current state
+  net::OneShotTimer timer_;          // timeout of the current state
+  net::OneShotTimer discard_pause_;  // limits the rate of discarding input
   SessionList::Position position_;
   State state_ = State::kAwaitingFirst;
   InputMode input_mode_ = InputMode::kParse;
--- a/src/proxy/session_read.cpp
+++ b/src/proxy/session_read.cpp
@@ -2,6 +2,7 @@
 //
 // Reads the input of a session and parses it into requests, one after another.
 #include <boost/asio/buffer.hpp>
+#include <chrono>
 #include <optional>
 #include <utility>
 
@@ -16,10 +17,10 @@
 
 namespace {
 
-// More than the systems of a client and this proxy buffer for one connection by default: a client that has
-// closed the connection can't have sent more.
-constexpr std::size_t kMaxDiscardedWhileServing = 16 << 20;
+constexpr std::size_t kMaxUnpacedBytes = 256 << 10;         // that are discarded at full speed
+constexpr std::size_t kMaxDiscardedWhileServing = 4 << 20;  // behind requests
 constexpr std::size_t kMaxDiscardedWhileLingering = 256 << 10;
+constexpr std::chrono::milliseconds kDiscardPause{2};  // after each read of the discard buffer's size
 // Less than the receive window of a connection. With fewer bytes unread the window is open, so that a close
 // of the client would have arrived with them.
 constexpr std::size_t kMinBacklogBytes = 16 << 10;
@@ -85,8 +86,8 @@
   }
 }
 
-// Input behind a request that is served is read without a pause: the client's close may be held back behind
-// it, and no attempt may begin once the client has left.
+// Input behind a request that is served is read at a limited rate, so that a client that sends at full speed
+// costs others little. Until all of it has been read, CheckClient() doesn't know whether the client has left.
 void Session::DiscardSome() {
   NoteBacklog();
   beast::error_code error;
@@ -97,7 +98,10 @@
   const bool is_lingering = state_ == State::kLingering;
   const std::size_t max_bytes = is_lingering ? kMaxDiscardedWhileLingering : kMaxDiscardedWhileServing;
   if (discarded_bytes_ > max_bytes) return OnTooMuchDiscarded();
-  AwaitInput();
+  if (discarded_bytes_ <= kMaxUnpacedBytes) return AwaitInput();
+  discard_pause_.ArmAfter(kDiscardPause, [self = shared_from_this()] {
+    self->Guarded([&session = *self] { session.AwaitInput(); });
+  });
 }
 
 // A client that never stops sending keeps the proxy from seeing whether it has left, so its request gets no
