--- a/src/proxy/discovery.cpp
+++ b/src/proxy/discovery.cpp
@@ -27,6 +27,9 @@
 constexpr std::size_t kMaxListBytes = 4 << 20;  // far larger than the list of any deployment
 constexpr std::size_t kMaxReadBytes = 16384;    // per read
 constexpr unsigned kHttpVersion = 11;           // HTTP/1.1 in Beast's notation
+constexpr unsigned kStatusOk = 200;
+constexpr std::string_view kResponse = "response";
+constexpr std::string_view kMessage = "message of the watch";
 
 void LogFailure(std::string_view reason) { std::cerr << "discovery: " << reason << '\n'; }
 
@@ -36,7 +39,10 @@
  public:
   ReadDeadline(asio::io_context& io, beast::tcp_stream& stream) : stream_(stream), timer_(io) {}
 
-  void SetAfter(std::chrono::milliseconds wait) {
+  // `awaited` names what must come in time; it must outlive this object.
+  void SetAfter(std::chrono::milliseconds wait, std::string_view awaited) {
+    wait_ = wait;
+    awaited_ = awaited;
     timer_.ArmAfter(wait, [this] { Expire(); });
   }
 
@@ -45,11 +51,14 @@
     if (read_grace_.ShouldPostpone(stream_.socket()))
       return timer_.ArmAfter(net::ReadTimeoutGrace::kRecheckInterval, [this] { Expire(); });
     stream_.close();
+    std::cerr << "discovery: no " << awaited_ << " for " << wait_.count() << " ms; closed the connection\n";
   }
 
   beast::tcp_stream& stream_;
   net::OneShotTimer timer_;
   net::ReadTimeoutGrace read_grace_;
+  std::chrono::milliseconds wait_{0};
+  std::string_view awaited_;
 };
 
 }  // namespace
@@ -194,11 +203,16 @@
                                           kHttpVersion);
   request.set(http::field::host, "discovery");
   stream.expires_never();
-  connection.deadline.SetAfter(timing_.response_timeout);
+  connection.deadline.SetAfter(timing_.response_timeout, kResponse);
   co_await http::async_write(stream, request, token);
   if (error) co_return false;
   co_await http::async_read_header(stream, connection.buffer, connection.parser, token);
-  if (error || connection.parser.get().result() != http::status::ok) co_return false;
+  if (error) co_return false;
+  const unsigned status = connection.parser.get().result_int();
+  if (status != kStatusOk) {
+    std::cerr << "discovery: the call was answered with status " << status << '\n';
+    co_return false;
+  }
   if (generation != generation_) co_return false;
   awaits_response_ = false;
   co_return true;
@@ -209,7 +223,7 @@
 asio::awaitable<void> Discovery::ReadMessages(Connection& connection, std::uint64_t generation) {
   beast::error_code error;
   auto token = asio::redirect_error(asio::use_awaitable, error);
-  connection.deadline.SetAfter(timing_.message_timeout);
+  connection.deadline.SetAfter(timing_.message_timeout, kMessage);
   JsonStream messages(kMaxListBytes);
   std::array<char, kMaxReadBytes> piece;
   auto& body = connection.parser.get().body();
@@ -228,7 +242,7 @@
     if (error || generation != generation_) co_return;
     if (!*has_message) continue;
     ArmWatchdog();
-    connection.deadline.SetAfter(timing_.message_timeout);
+    connection.deadline.SetAfter(timing_.message_timeout, kMessage);
   }
 }
 
@@ -254,7 +268,7 @@
     if (!item) return item.error();
     if (*item == JsonStream::Item::kNone) break;
     has_message = true;
-    if (*item == JsonStream::Item::kEmptyLine) continue;
+    if (*item == JsonStream::Item::kLineEnd) continue;
     EndpointListResult<EndpointList> list = reader_.Read(stream.Take());
     if (!list) return list.error();
     backoff_ = timing_.min_backoff;
--- a/src/proxy/json_stream.h
+++ b/src/proxy/json_stream.h
@@ -19,9 +19,9 @@
  public:
   /// The kind of item that Next() has found.
   enum class Item {
-    kNone,       ///< nothing: more bytes are needed
-    kEmptyLine,  ///< an empty line between objects: a heartbeat
-    kObject,     ///< an object, which Take() returns
+    kNone,     ///< nothing: more bytes are needed
+    kLineEnd,  ///< the end of a line outside an object: of an empty line or of the line of an object
+    kObject,   ///< an object, which Take() returns
   };
 
   /// `max_bytes`: the maximum length of one object.
@@ -34,13 +34,12 @@
   boost::json::value Take();
 
  private:
-  EndpointListResult<Item> SkipSpace(std::string_view& bytes);
+  static EndpointListResult<Item> SkipSpace(std::string_view& bytes);
   EndpointListResult<Item> ParseObject(std::string_view& bytes);
 
   std::size_t max_bytes_;
   boost::json::stream_parser parser_;
   std::size_t object_bytes_ = 0;  // parsed bytes of a partial object; 0: none
-  bool line_is_empty_ = true;
 };
 
 }  // namespace badgerbridge::proxy
--- a/tests/compatibility/proxy_compatibility_test.cpp
+++ b/tests/compatibility/proxy_compatibility_test.cpp
@@ -106,8 +106,8 @@
     const proxy::JsonStream::Item item = stream.Next(bytes).value();
     if (item == proxy::JsonStream::Item::kNone) return dump.text();
     dump.BeginTable("");
-    if (item == proxy::JsonStream::Item::kEmptyLine) {
-      dump.Add("heartbeat", true);
+    if (item == proxy::JsonStream::Item::kLineEnd) {
+      dump.Add("line_end", true);
       continue;
     }
     const proxy::EndpointList list = reader.Read(stream.Take()).value();
