Keep an open watch when the next poll is due, and report an unchanged list

What callers saw: nothing that is known.

Cause: the decision module polls again if it hears of no list by then, and Discovery::Watch replaced a watch whose response had begun. A watch on which nothing had changed was never reported to the module.

Change: Watch keeps a call and its watch while they are open; their time-outs end them. The first heartbeat of a polled watch at a known version is reported as a change without entries.

HeartbeatsInPlaceOfASnapshotKeepOnlyAPushedWatchOpen bounds the new rule (its polled half fails on the former code, which left that to the next poll).

--- a/src/proxy/discovery.cpp
+++ b/src/proxy/discovery.cpp
@@ -74,6 +74,8 @@
   ReadDeadline deadline;
   beast::flat_buffer buffer{2 * kMaxReadBytes};
   http::response_parser<http::buffer_body> parser;
+  JsonStream messages{kMaxListBytes};
+  bool is_answered = false;  // a list has come, or a heartbeat in place of one
 };
 
 Discovery::Discovery(asio::io_context& io, asio::ip::tcp::endpoint address, EndpointListReader reader,
@@ -102,7 +104,7 @@
 }
 
 void Discovery::Watch() {
-  if (!(polls_ && (awaits_response_ || AwaitsRead()))) Start();
+  if (!(polls_ && is_open_)) Start();
 }
 
 // Whether bytes of the open watch have arrived that its read handler has not processed.
@@ -136,7 +138,7 @@
   if (!polls_) return Start();
   ++generation_;
   if (stream_) stream_->close();
-  awaits_response_ = false;
+  is_open_ = false;
   on_failed_();
 }
 
@@ -154,14 +156,14 @@
 asio::awaitable<void> Discovery::Run(std::uint64_t generation) {
   while (generation == generation_) {
     ArmWatchdog();
-    awaits_response_ = true;
+    is_open_ = true;
     try {
       co_await WatchOnce(generation);
     } catch (const std::exception& error) {
       LogFailure(error.what());
     }
     if (generation != generation_) co_return;
-    awaits_response_ = false;
+    is_open_ = false;
     stream_.reset();
     if (polls_) {
       watchdog_.Disarm();
@@ -213,9 +215,7 @@
     std::cerr << "discovery: the call was answered with status " << status << '\n';
     co_return false;
   }
-  if (generation != generation_) co_return false;
-  awaits_response_ = false;
-  co_return true;
+  co_return generation == generation_;
 }
 
 // Only complete messages extend the deadline: an unreachable discovery sends nothing, and one that hangs may
@@ -224,7 +224,6 @@
   beast::error_code error;
   auto token = asio::redirect_error(asio::use_awaitable, error);
   connection.deadline.SetAfter(timing_.message_timeout, kMessage);
-  JsonStream messages(kMaxListBytes);
   std::array<char, kMaxReadBytes> piece;
   auto& body = connection.parser.get().body();
   while (!connection.parser.is_done()) {
@@ -234,7 +233,7 @@
     if (error == http::error::need_buffer) error = {};
     if (generation != generation_) co_return;
     const EndpointListResult<bool> has_message =
-        HandleBytes(messages, {piece.data(), piece.size() - body.size}, generation);
+        HandleBytes(connection, {piece.data(), piece.size() - body.size}, generation);
     if (!has_message) {
       LogFailure("not a list: " + Message(has_message.error()));
       co_return;
@@ -248,10 +247,10 @@
 
 // Handles bytes of the watch. Returns whether they completed a message (a list or a heartbeat). On failure
 // resets the version, because changes may have been lost and only a snapshot restores them.
-EndpointListResult<bool> Discovery::HandleBytes(JsonStream& stream, std::string_view bytes,
+EndpointListResult<bool> Discovery::HandleBytes(Connection& connection, std::string_view bytes,
                                                 std::uint64_t generation) {
   try {
-    EndpointListResult<bool> has_message = HandleMessages(stream, bytes, generation);
+    EndpointListResult<bool> has_message = HandleMessages(connection, bytes, generation);
     if (!has_message) reader_.ResetVersion();
     return has_message;
   } catch (const std::exception&) {
@@ -260,21 +259,36 @@
   }
 }
 
-EndpointListResult<bool> Discovery::HandleMessages(JsonStream& stream, std::string_view bytes,
+EndpointListResult<bool> Discovery::HandleMessages(Connection& connection, std::string_view bytes,
                                                    std::uint64_t generation) {
   bool has_message = false;
   while (generation == generation_) {
-    const EndpointListResult<JsonStream::Item> item = stream.Next(bytes);
+    const EndpointListResult<JsonStream::Item> item = connection.messages.Next(bytes);
     if (!item) return item.error();
     if (*item == JsonStream::Item::kNone) break;
-    has_message = true;
-    if (*item == JsonStream::Item::kLineEnd) continue;
-    EndpointListResult<EndpointList> list = reader_.Read(stream.Take());
+    if (*item == JsonStream::Item::kLineEnd) {
+      has_message |= HandleHeartbeat(connection);
+      continue;
+    }
+    EndpointListResult<EndpointList> list = reader_.Read(connection.messages.Take());
     if (!list) return list.error();
+    has_message = true;
+    connection.is_answered = true;
     backoff_ = timing_.min_backoff;
     on_list_(std::move(*list));
   }
   return has_message;
 }
 
+// Returns whether the heartbeat counts as a message. While a polled watch has not answered, it means that
+// nothing has changed since the known version, which the decision module waits to hear. A watch that has to
+// begin with a snapshot must not be kept open without one.
+bool Discovery::HandleHeartbeat(Connection& connection) {
+  if (!polls_ || connection.is_answered) return true;
+  if (reader_.version() == 0) return false;
+  connection.is_answered = true;
+  on_list_(EndpointList{});
+  return true;
+}
+
 }  // namespace badgerbridge::proxy
--- a/src/proxy/discovery.h
+++ b/src/proxy/discovery.h
@@ -42,7 +42,8 @@
     std::chrono::milliseconds min_backoff{50};        ///< after the first failure
     std::chrono::milliseconds max_backoff{200};       ///< upper limit
   };
-  /// Receives each list.
+  /// Receives each list. When polling, a heartbeat that comes instead of the first list is an empty delta:
+  /// the known version is the current one.
   using OnList = std::function<void(EndpointList)>;
 
   /// `polls`: the decision module decides when to call, and `on_failed` is called when a call has ended.
@@ -50,9 +51,8 @@
   Discovery(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint address, EndpointListReader reader,
             bool polls, std::uint64_t seed, OnList on_list, std::function<void()> on_failed, Timing timing);
 
-  /// Opens the watch and replaces an open one. When polling, keeps a call that waits for its response, since
-  /// a new call would go to the end of the queue, and a watch with an unread message. Their timeouts end
-  /// both.
+  /// Opens the watch and replaces an open one. When polling, keeps a call or a watch that is open, since a
+  /// new call would go to the end of the queue. Timeouts end both if they fall silent.
   void Watch();
 
   /// Switches to another discovery address and requests a snapshot, because versions are valid only at the
@@ -79,9 +79,11 @@
   boost::asio::awaitable<bool> Open(Connection& connection, std::uint64_t generation);
   boost::asio::awaitable<void> ReadMessages(Connection& connection, std::uint64_t generation);
   std::chrono::milliseconds NextBackoff();
-  EndpointListResult<bool> HandleBytes(JsonStream& stream, std::string_view bytes, std::uint64_t generation);
-  EndpointListResult<bool> HandleMessages(JsonStream& stream, std::string_view bytes,
+  EndpointListResult<bool> HandleBytes(Connection& connection, std::string_view bytes,
+                                       std::uint64_t generation);
+  EndpointListResult<bool> HandleMessages(Connection& connection, std::string_view bytes,
                                           std::uint64_t generation);
+  bool HandleHeartbeat(Connection& connection);
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::endpoint address_;
@@ -94,7 +96,7 @@
   std::chrono::milliseconds backoff_;
   std::shared_ptr<boost::beast::tcp_stream> stream_;  // of the open watch
   std::uint64_t generation_ = 0;      // counts Start(); coroutines of older generations end at the next step
-  bool awaits_response_ = false;      // a call is open whose response has not begun
+  bool is_open_ = false;              // a call or its watch is open
   net::ReadTimeoutGrace read_grace_;  // of the open watch
   net::OneShotTimer address_change_timer_;
   net::OneShotTimer watchdog_;
--- a/tests/races/discovery_heartbeat_test.cpp
+++ b/tests/races/discovery_heartbeat_test.cpp
@@ -105,6 +105,17 @@
             Discovery::Timing::For(GetParam().polls).message_timeout + milliseconds(2));
 }
 
+// A polled watch that has to begin with a snapshot must not stay open without one. An agent that pushes lists
+// may have none yet.
+TEST_P(DiscoveryHeartbeatTest, HeartbeatsInPlaceOfASnapshotKeepOnlyAPushedWatchOpen) {
+  ASSERT_TRUE(Until([&] { return peer_->requests.size() == 1; }));
+  SendHeartbeats();
+  EXPECT_EQ(failures_, GetParam().polls ? 1 : 0);
+  EXPECT_EQ(peer_->wires[0]->closed, GetParam().polls);
+  EXPECT_EQ(peer_->wires.size(), 1u);
+  EXPECT_EQ(lists_, 0);
+}
+
 std::vector<Mode> AllModes() {
   std::vector<Mode> modes;
   for (const bool polls : {false, true}) {
