Leave discovery's poll due when something changes in etcd

What callers saw: a proxy that polls discovery and follows etcd never called discovery again after a failed call and a change in etcd. Drains that discovery alone knew did not reach it. No deployment is known that does both.

Changes of the merged list reached it as lists of discovery, and so ended the poll that was due. An answer of discovery that changed nothing in the merged list was not reported, so that the backoff was not reset (read, not measured).

Change: EndpointListUpdate::answers_poll says whether discovery sent the update. Changes of the merged list do not answer a poll; each message of discovery's watch does.

Before: EndpointPoller.ChangeFromAnotherSourceThanDiscovery_LeavesThePollDue and ProxyWithEtcdTest.ChangesInEtcdDoNotEndThePollsOfDiscovery fail, the latter with no call in 20 s after discovery's return. After: both pass. No test holds the second half, that an answer without a change is reported.

--- a/include/badgerbridge/balancer.h
+++ b/include/badgerbridge/balancer.h
@@ -136,6 +136,7 @@
 struct EndpointListUpdate {
   EndpointListKind kind = EndpointListKind::kDelta;  ///< How to apply `entries`.
   std::vector<BackendEntry> entries;                 ///< Listed backends; empty for kFailed.
+  bool answers_poll = true;                          ///< Whether it ends a Subscribe; false: another source.
 };
 
 /// A client has sent a request. It ends with exactly one of: a settled attempt, Reject, FailRequest, or
--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -101,7 +101,7 @@
   // ---- Events -----------------------------------------------------------------------------------------
 
   void On(const EndpointListUpdate& update) {
-    poller_.RecordUpdate(update.kind, now_, random_);
+    if (update.answers_poll) poller_.RecordUpdate(update.kind, now_, random_);
     if (update.kind == EndpointListKind::kFailed) return;
     backends_.Apply(update, now_, aperture_);
     for (const BackendEntry& endpoint : update.entries) {
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -67,12 +67,19 @@
   return was_attempted;
 }
 
-void Proxy::UpdateList(EndpointListKind kind, const EndpointList& list) {
+void Proxy::UpdateList(EndpointListKind kind, const EndpointList& list) { ApplyList(kind, list, true); }
+
+void Proxy::ApplyMembershipChange(const EndpointList& change) {
+  ApplyList(EndpointListKind::kDelta, change, false);
+}
+
+void Proxy::ApplyList(EndpointListKind kind, const EndpointList& list, bool answers_poll) {
   if (kind != EndpointListKind::kCached) last_list_at_ = clock_.Now();
   backends_.Update(list);  // first, because the actions of the decision module need the addresses
   if (observer_) observer_->OnEndpointList(clock_.Now(), list);
   EndpointListUpdate update;
   update.kind = kind;
+  update.answers_poll = answers_poll;
   for (const Endpoint& endpoint : list.endpoints) update.entries.push_back(endpoint.entry);
   table_.UpdateEndpoints(clock_.Now(), std::move(update), &actions_);
   ProcessActions();
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -60,8 +60,11 @@
   /// Reports that the client of a request has disconnected; the request gets no answer. Returns whether an
   /// attempt was passed to the backend pool, as Answer::was_attempted.
   bool ClientDisconnected(RequestId request);
-  /// Applies a list, or a change to it.
+  /// Applies a list of discovery, or a change to it.
   void UpdateList(EndpointListKind kind, const EndpointList& list);
+  /// Applies a change that another source than discovery has decided on. It is no answer of discovery, so a
+  /// poll that is due stays due.
+  void ApplyMembershipChange(const EndpointList& change);
   /// Reports that a poll of the endpoint list has failed.
   void EndpointListFailed();
   /// Replaces the limits on the traffic to each zone.
@@ -103,6 +106,7 @@
 
   static constexpr RequestId kNoRequestId = 0;  // key in requests_ until the table has assigned an id
 
+  void ApplyList(EndpointListKind kind, const EndpointList& list, bool answers_poll);
   void ProcessActions();
   void Perform(const request_table::Send& action);
   void Perform(const request_table::Cancel& action);
--- a/src/proxy_main/proxy_process.cpp
+++ b/src/proxy_main/proxy_process.cpp
@@ -99,14 +99,17 @@
   if (!operator_file.etcd) return;
   membership_.emplace(
       io_, config_, *operator_file.etcd,
-      [this](const EndpointList& list) { proxy_.UpdateList(EndpointListKind::kDelta, list); },
+      [this](const EndpointList& list) { proxy_.ApplyMembershipChange(list); },
       [this] { proxy_.SetListComplete(true); });
   if (configured.endpoints.empty()) proxy_.SetListComplete(false);
   membership_->SetConfiguredEndpoints(configured);
 }
 
 void ProxyProcess::OnEndpointList(const EndpointList& list) {
-  if (membership_) return membership_->UpdateFromDiscovery(list);
+  if (membership_) {
+    membership_->UpdateFromDiscovery(list);
+    return proxy_.UpdateList(EndpointListKind::kDelta, {});  // discovery has answered the poll
+  }
   proxy_.UpdateList(list.snapshot ? EndpointListKind::kFull : EndpointListKind::kDelta, list);
 }
 
--- a/tests/balancer/endpoint_poller_test.cpp
+++ b/tests/balancer/endpoint_poller_test.cpp
@@ -68,5 +68,22 @@
   }
 }
 
+// Guards against a change in etcd that ends the polls of a discovery whose last call has failed.
+TEST(EndpointPoller, ChangeFromAnotherSourceThanDiscovery_LeavesThePollDue) {
+  Settings settings = ThreeClassSettings();
+  settings.polls_endpoint_list = true;
+  settings.max_poll_interval = Duration(10000);
+  BalancerHarness harness(settings);
+  harness.UpdateEndpoints({Entry(1)}, EndpointListKind::kCached);
+  harness.UpdateEndpoints({}, EndpointListKind::kFailed);
+  harness.Handle(EndpointListUpdate{EndpointListKind::kDelta, {Entry(2)}, /*answers_poll=*/false});
+  double waited = 0;
+  while (harness.CountActions<Subscribe>() == 0 && waited < 20000) {
+    harness.AdvanceTime(10);
+    waited += 10;
+  }
+  EXPECT_LE(waited, 510);
+}
+
 }  // namespace
 }  // namespace badgerbridge::balancer
--- a/tests/proxy_main/proxy_process_test.cpp
+++ b/tests/proxy_main/proxy_process_test.cpp
@@ -87,12 +87,12 @@
            R"(","seed":"a5","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":)" +
            discovery.List() +
            R"(,"settings":{"balancers":1,"me":0,"zone":0,"zones":["a","b"],"kinds":["standard"],)"
-           R"("tenants":[],"periodMs":5.0,"registryMode":"push","classes":[)" +
-           ClassText("preview", "read_like") + "," + ClassText("convert", "idempotency_key") + "," +
-           ClassText("certify", "non_idempotent") +
+           R"("tenants":[],"periodMs":5.0,"registryMode":")" +
+           registry_mode + R"(","classes":[)" + ClassText("preview", "read_like") + "," +
+           ClassText("convert", "idempotency_key") + "," + ClassText("certify", "non_idempotent") +
            R"(],"permissions":{"maxAttempts":4,"connectTimeoutMs":250.0,"connIdleMs":60000.0,)"
            R"("retryAfter":true,"maxRetryAfterMs":600.0},"rules":{"coldFrom":0.2,"warmUpMs":24000.0,)"
-           R"("fallMultiple":2.5,"overloadForMs":3000.0,"drainGraceMs":500.0}}})";
+           R"("fallMultiple":2.5,"overloadForMs":3000.0,"drainGraceMs":500.0,"mustAskInMs":10000.0}}})";
   }
   /// The operator's file, which enables the admin API and membership from all etcd members.
   std::string OperatorText() {
@@ -150,6 +150,7 @@
   std::string folder;
   standins::Ledger ledger;
   standins::Discovery discovery{io};
+  std::string registry_mode = "push";  ///< "ask": discovery is polled.
   std::unique_ptr<Etcd> etcd;
   std::vector<std::unique_ptr<Backend>> backends;
   asio::ip::tcp::endpoint tcp_address;
@@ -262,5 +263,28 @@
   EXPECT_EQ(clients.account().lost, 0u);
 }
 
+// Guards against a change in etcd that is taken for an answer of discovery, which is then never polled again.
+TEST_F(ProxyWithEtcdTest, ChangesInEtcdDoNotEndThePollsOfDiscovery) {
+  constexpr int kChanges = 100;  // some fall between a failed call and the next
+  registry_mode = "ask";
+  for (int i = 0; i < 2; ++i) {
+    Write(i);
+    discovery.Set(EntryOf(i));
+  }
+  discovery.Down();
+  Start();
+  ASSERT_TRUE(Until([&] { return StateOf("c1") == "ready by etcd: ready"; }));
+  for (int change = 0; change < kChanges; ++change) {
+    const bool drains = change % 2 == 0;
+    Write(1, drains ? "Terminating" : "Ready");
+    const std::string expected = drains ? "draining by etcd: draining" : "ready by etcd: ready";
+    ASSERT_TRUE(Until([&] { return StateOf("c1") == expected; }));
+  }
+  discovery.Up();
+  EXPECT_TRUE(Until([&] { return discovery.watches() == 1; }));
+  discovery.Remove("c1");
+  EXPECT_TRUE(Until([&] { return StateOf("c1") == "gone"; }));
+}
+
 }  // namespace
 }  // namespace badgerbridge::proxy_main
