--- a/tests/standins/clients.cpp
+++ b/tests/standins/clients.cpp
@@ -18,8 +18,44 @@
 using Clock = std::chrono::steady_clock;
 using std::chrono::milliseconds;
 
-constexpr milliseconds kFrontEvery{200};
-constexpr milliseconds kConnect{500};
+using Request = http::request<http::string_body>;
+using Response = http::response<http::string_body>;
+
+constexpr milliseconds kReadinessInterval{200};
+constexpr milliseconds kConnectTimeout{500};
+constexpr milliseconds kAnswerSlack{100};  // an answer that comes this late still counts
+constexpr unsigned kHttpVersion = 11;      // HTTP/1.1 in Beast's notation
+constexpr unsigned kObjects = 1000;        // that requests ask for
+constexpr double kMicrosecondsPerMillisecond = 1000;
+
+// The request of one try, without the time that its client has left.
+Request MakeRequest(const LoadClass& request_class, const Record& record, unsigned object, double work) {
+  Request request;
+  request.version(kHttpVersion);
+  request.method(request_class.kind == Kind::kIdempotent ? http::verb::get : http::verb::post);
+  std::string target = "/" + request_class.name + "?obj=" + std::to_string(object);
+  if (work > 0) {
+    const std::string hint = std::to_string(
+        std::max<std::int64_t>(1, static_cast<std::int64_t>(work * kMicrosecondsPerMillisecond)));
+    target += "&work=" + hint;
+    request.set("X-Weight-Hint", hint);
+  }
+  request.target(target);
+  request.set(http::field::host, "proxy");
+  request.set("X-Correlation-Id", record.id);
+  request.set("X-Service-Class", request_class.name);
+  if (record.attempt > 0) request.set("X-Repeat", "1");
+  if (request_class.kind == Kind::kIdempotencyKey) request.set("Idempotency-Key", "k" + record.id);
+  if (request_class.kind != Kind::kIdempotent) request.body() = "document " + record.id;
+  return request;
+}
+
+// Sets the time that the client has left; the last step before the request is written.
+void SetTimeLeft(Clock::time_point due, Request* request) {
+  const auto left = std::chrono::duration_cast<milliseconds>(due - Clock::now());
+  request->set("X-Time-Left-Ms", std::to_string(std::max<std::int64_t>(1, left.count())));
+  request->prepare_payload();
+}
 
 }  // namespace
 
@@ -37,14 +73,14 @@
       ready_(addresses_.size()),
       avoided_(addresses_.size()),
       idle_(addresses_.size()),
-      each_(addresses_.size()) {
-  in_turn_ = load_.classes.empty();
-  if (in_turn_)
+      account_by_proxy_(addresses_.size()) {
+  cycles_classes_ = load_.classes.empty();
+  if (cycles_classes_)
     load_.classes = {{"preview", Kind::kIdempotent, 1, load_.deadline},
                      {"convert", Kind::kIdempotencyKey, 1, load_.deadline},
                      {"certify", Kind::kNotIdempotent, 1, load_.deadline}};
   for (const LoadClass& cls : load_.classes) share_sum_ += cls.share;
-  for (std::size_t i = 0; i < addresses_.size(); ++i) asio::co_spawn(io_, Front(i, turn_), asio::detached);
+  for (std::size_t i = 0; i < addresses_.size(); ++i) asio::co_spawn(io_, PollReadiness(i), asio::detached);
 }
 
 Clients::~Clients() {
@@ -68,26 +104,26 @@
 void Clients::Start() {
   if (running_) return;
   running_ = true;
-  asio::co_spawn(io_, Pace(++turn_), asio::detached);
+  asio::co_spawn(io_, GenerateLoad(++generation_), asio::detached);
 }
 
 void Clients::Stop() {
   running_ = false;
-  ++turn_;
+  ++generation_;
 }
 
-// Asks one proxy, for as long as this lives, whether it is ready.
-asio::awaitable<void> Clients::Front(std::size_t proxy, std::uint64_t) {
+// Asks one proxy whether it is ready, until this object is destroyed.
+asio::awaitable<void> Clients::PollReadiness(std::size_t proxy) {
   const auto alive = alive_;
   beast::error_code error;
   auto token = asio::redirect_error(asio::use_awaitable, error);
   while (*alive) {
     beast::tcp_stream stream(io_);
-    stream.expires_after(kConnect);
+    stream.expires_after(kConnectTimeout);
     bool ready = false;
     co_await stream.async_connect(addresses_[proxy], token);
     if (!error) {
-      http::request<http::empty_body> request(http::verb::get, "/ready", 11);
+      http::request<http::empty_body> request(http::verb::get, "/ready", kHttpVersion);
       request.set(http::field::host, "proxy");
       request.keep_alive(false);
       co_await http::async_write(stream, request, token);
@@ -98,21 +134,21 @@
     }
     if (!*alive) co_return;
     ready_[proxy] = ready;
-    asio::steady_timer timer(io_, kFrontEvery);
+    asio::steady_timer timer(io_, kReadinessInterval);
     co_await timer.async_wait(token);
   }
 }
 
-asio::awaitable<void> Clients::Pace(std::uint64_t turn) {
+asio::awaitable<void> Clients::GenerateLoad(std::uint64_t generation) {
   const auto alive = alive_;
   beast::error_code error;
   auto token = asio::redirect_error(asio::use_awaitable, error);
   double due = 0;  // s since it began
-  for (const auto began = Clock::now(); *alive && turn == turn_;) {
+  for (const auto began = Clock::now(); *alive && generation == generation_;) {
     asio::steady_timer timer(io_);
     timer.expires_at(began + std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(due)));
     co_await timer.async_wait(token);
-    if (!*alive || turn != turn_) co_return;
+    if (!*alive || generation != generation_) co_return;
     due += 1 / (load_.per_second * std::max(scale_, 1e-3));
     ++out_;
     asio::co_spawn(io_, Ask(++number_), asio::detached);
@@ -127,7 +163,7 @@
   return addresses_.size();
 }
 
-// One that a client wants, over all its tries.
+// One request of a client, over all its tries.
 asio::awaitable<void> Clients::Ask(std::uint64_t number) {
   const auto alive = alive_;
   beast::error_code error;
@@ -141,7 +177,7 @@
   } leave{*this, alive};
   Record record;
   record.request_class = number % load_.classes.size();
-  if (!in_turn_) {
+  if (!cycles_classes_) {
     double at = static_cast<double>(random_() >> 11) * 0x1.0p-53 * share_sum_;
     record.request_class = 0;
     while (record.request_class + 1 < load_.classes.size() && at >= load_.classes[record.request_class].share)
@@ -154,13 +190,13 @@
     if (record.attempt > 0) record.id += "." + std::to_string(record.attempt);
     record.doubled = record.ended_by_peer = false;
     record.closed.reset();
-    const bool whole = co_await Try(&record, work);
+    const bool is_alive = co_await Try(&record, work);
     if (!*alive) co_return;
     record.ended = Clock::now();
     if (on_record_) on_record_(record);
     const bool unsafe = load_.classes[record.request_class].kind == Kind::kNotIdempotent;
     const bool again = record.end == Record::End::kRefused || (record.end == Record::End::kFailed && !unsafe);
-    if (!whole || !again || record.attempt + 1 >= load_.tries || !running_) co_return;
+    if (!is_alive || !again || record.attempt + 1 >= load_.tries || !running_) co_return;
     const auto most = static_cast<std::uint64_t>(2 * load_.pause.count() + 1);
     asio::steady_timer pause(io_, milliseconds(static_cast<std::int64_t>(random_() % most)));
     co_await pause.async_wait(token);
@@ -182,87 +218,92 @@
     ++account_.unsent;
     co_return true;
   }
-  http::request<http::string_body> request;
-  request.version(11);
-  request.method(cls.kind == Kind::kIdempotent ? http::verb::get : http::verb::post);
-  std::string target = "/" + cls.name + "?obj=" + std::to_string(random_() % 1000);
-  if (work > 0) {
-    const std::string hint =
-        std::to_string(std::max<std::int64_t>(1, static_cast<std::int64_t>(work * 1000)));
-    target += "&work=" + hint;
-    request.set("X-Weight-Hint", hint);
-  }
-  request.target(target);
-  request.set(http::field::host, "proxy");
-  request.set("X-Correlation-Id", record->id);
-  request.set("X-Service-Class", cls.name);
-  if (record->attempt > 0) request.set("X-Repeat", "1");
-  if (cls.kind == Kind::kIdempotencyKey) request.set("Idempotency-Key", "k" + record->id);
-  if (cls.kind != Kind::kIdempotent) request.body() = "document " + record->id;
-  std::shared_ptr<Connection> connection;
-  bool reused = false;
-  if (!idle_[proxy].empty()) {
-    connection = idle_[proxy].back();
-    idle_[proxy].pop_back();
-    reused = true;
-  }
-  for (int turn = 0; turn < 2; ++turn) {
+  Request request = MakeRequest(cls, *record, static_cast<unsigned>(random_() % kObjects), work);
+  std::shared_ptr<Connection> connection = TakeIdle(proxy);
+  bool reused = connection != nullptr;
+  for (bool is_first = true;; is_first = false) {
     if (!connection) {
-      connection = std::make_shared<Connection>(io_);
-      connection->stream.expires_after(kConnect);
-      co_await connection->stream.async_connect(addresses_[proxy], token);
+      connection = co_await Connect(addresses_[proxy]);
       if (!*alive) co_return false;
-      if (error) {
+      if (!connection) {
         ++account_.unsent;
         co_return true;
       }
-      connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
     }
-    const auto left = std::chrono::duration_cast<milliseconds>(due - Clock::now());
-    request.set("X-Time-Left-Ms", std::to_string(std::max<std::int64_t>(1, left.count())));
-    request.prepare_payload();
-    connection->stream.expires_at(due + milliseconds(100));
+    SetTimeLeft(due, &request);
+    connection->stream.expires_at(due + kAnswerSlack);
     record->sent = Clock::now();
-    if (turn == 0) record->first_sent = record->sent;
+    if (is_first) record->first_sent = record->sent;
     co_await http::async_write(connection->stream, request, token);
     http::response_parser<http::string_body> parser;
     if (!error) co_await http::async_read(connection->stream, connection->buffer, parser, token);
     if (!*alive) co_return false;
-    if (error && error != beast::error::timeout && reused && turn == 0 && !parser.got_some()) {
+    if (error && error != beast::error::timeout && reused && !parser.got_some()) {
       // A close that crossed the request: once more, on a new connection. A time-out is none.
-      ++account_.resent, ++each_[proxy].resent;
+      Count(proxy, &Account::resent);
       connection.reset();
       reused = false;
       continue;
     }
-    ++account_.sent, ++each_[proxy].sent;
+    Count(proxy, &Account::sent);
     if (error) {
-      ++account_.lost, ++each_[proxy].lost;
-      record->end = Record::End::kLost;
-      record->ended_by_peer = error != beast::error::timeout;
-      if (!record->ended_by_peer) record->closed = Clock::now();
+      RecordLoss(error != beast::error::timeout, record);
       co_return true;
     }
     if (on_answer_)
       on_answer_(std::chrono::duration<double, std::milli>(Clock::now() - (due - cls.deadline)).count());
-    const unsigned status = parser.get().result_int();
-    const auto count = [&](std::uint64_t Account::*which) { ++(account_.*which), ++(each_[proxy].*which); };
-    if (status == 200) {
-      count(&Account::served);
-      record->end = Record::End::kServed;
-      served_ids_.insert(record->id);
-      if (parser.get().body().find("converted " + record->id + " ") != 0) record->doubled = true;
-    } else {
-      const bool refused = status == 429 || status == 503;
-      count(refused ? &Account::refused : &Account::failed);
-      record->end = refused ? Record::End::kRefused : Record::End::kFailed;
-    }
+    const Response& response = parser.get();
+    RecordAnswer(response.result_int(), response.body(), record);
     record->doubled |= connection->buffer.size() > 0;
-    if (record->doubled) count(&Account::doubled);
-    if (parser.get().keep_alive() && running_) idle_[proxy].push_back(std::move(connection));
+    if (record->doubled) Count(proxy, &Account::doubled);
+    if (response.keep_alive() && running_) idle_[proxy].push_back(std::move(connection));
     co_return true;
   }
-  co_return true;
+}
+
+std::shared_ptr<Clients::Connection> Clients::TakeIdle(std::size_t proxy) {
+  if (idle_[proxy].empty()) return nullptr;
+  std::shared_ptr<Connection> connection = std::move(idle_[proxy].back());
+  idle_[proxy].pop_back();
+  return connection;
+}
+
+// Returns null if the proxy does not accept. This object may be gone by then.
+asio::awaitable<std::shared_ptr<Clients::Connection>> Clients::Connect(asio::ip::tcp::endpoint address) {
+  beast::error_code error;
+  auto token = asio::redirect_error(asio::use_awaitable, error);
+  const auto connection = std::make_shared<Connection>(io_);
+  connection->stream.expires_after(kConnectTimeout);
+  co_await connection->stream.async_connect(address, token);
+  if (error) co_return nullptr;
+  connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+  co_return connection;
+}
+
+void Clients::RecordLoss(bool ended_by_peer, Record* record) {
+  Count(record->proxy, &Account::lost);
+  record->end = Record::End::kLost;
+  record->ended_by_peer = ended_by_peer;
+  if (!ended_by_peer) record->closed = Clock::now();
+}
+
+void Clients::RecordAnswer(unsigned status, const std::string& body, Record* record) {
+  if (status == static_cast<unsigned>(http::status::ok)) {
+    Count(record->proxy, &Account::served);
+    record->end = Record::End::kServed;
+    served_ids_.insert(record->id);
+    if (body.find("converted " + record->id + " ") != 0) record->doubled = true;
+    return;
+  }
+  const bool is_refusal = status == static_cast<unsigned>(http::status::too_many_requests) ||
+                          status == static_cast<unsigned>(http::status::service_unavailable);
+  Count(record->proxy, is_refusal ? &Account::refused : &Account::failed);
+  record->end = is_refusal ? Record::End::kRefused : Record::End::kFailed;
+}
+
+void Clients::Count(std::size_t proxy, std::uint64_t Account::*counter) {
+  ++(account_.*counter);
+  ++(account_by_proxy_[proxy].*counter);
 }
 
 }  // namespace badgerbridge::standins
